--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/manifest/package-info.java
@@ -0,0 +1,2 @@
+/** Reading, checking and writing manifests. */
+package org.lycheetray.core.manifest;
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/model/DataCentreName.java
@@ -0,0 +1,23 @@
+package org.lycheetray.core.model;
+
+/**
+ * Name of a data centre, unique in a manifest across all regions.
+ *
+ * @param value the name as the manifest writes it
+ */
+public record DataCentreName(String value) implements Comparable<DataCentreName> {
+    /** Checks the form of the name. */
+    public DataCentreName {
+        NameUtil.requireName(value);
+    }
+
+    @Override
+    public int compareTo(DataCentreName o) {
+        return value.compareTo(o.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/model/DrainTarget.java
@@ -0,0 +1,32 @@
+package org.lycheetray.core.model;
+
+/** What a planned drain empties. */
+public sealed interface DrainTarget {
+    /**
+     * A whole region.
+     *
+     * @param region the region
+     */
+    record OfRegion(RegionName region) implements DrainTarget {}
+
+    /**
+     * One data centre.
+     *
+     * @param dataCentre the data centre
+     */
+    record OfDataCentre(DataCentreName dataCentre) implements DrainTarget {}
+
+    /**
+     * One backend server.
+     *
+     * @param backendServer the backend server
+     */
+    record OfBackendServer(BackendServerName backendServer) implements DrainTarget {}
+
+    /**
+     * One entry VM.
+     *
+     * @param vm the entry VM
+     */
+    record OfVm(VmName vm) implements DrainTarget {}
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/table/package-info.java
@@ -0,0 +1,2 @@
+/** Values exchanged with the platform's table service. */
+package org.lycheetray.core.table;
