--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/manifest/ManifestReader.java
@@ -0,0 +1,80 @@
+package org.lycheetray.core.manifest;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.List;
+import org.lycheetray.core.manifest.internal.ManifestDocument;
+import org.lycheetray.core.manifest.internal.ManifestReporter;
+import org.lycheetray.core.model.Manifest;
+
+/**
+ * Reads a manifest's JSON strictly.
+ *
+ * <p>Every error is reported at once with its JSON path: unknown, missing and doubled fields, wrong types, impossible
+ * numbers, duplicate names and references to names that are not declared. Text that is no JSON ends the reading where it
+ * breaks; what was found before is reported too. Bad input never throws.
+ */
+public final class ManifestReader {
+    /** Largest manifest accepted, in bytes. */
+    public static final int MAX_BYTES = 64 << 20;
+
+    private static final int MAX_NESTING = 12;
+    private static final int MAX_STRING_CHARACTERS = 4_096;
+    private static final int MAX_KEY_CHARACTERS = 256;
+    private static final int MAX_NUMBER_CHARACTERS = 40;
+    private static final JsonFactory JSON = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING)
+                    .maxStringLength(MAX_STRING_CHARACTERS)
+                    .maxNameLength(MAX_KEY_CHARACTERS)
+                    .maxNumberLength(MAX_NUMBER_CHARACTERS)
+                    .build())
+            .build();
+
+    private ManifestReader() {}
+
+    /**
+     * Reads a manifest.
+     *
+     * @param json the text in UTF-8
+     * @return the manifest, or all errors in the order in which they were found
+     */
+    public static Either<List<ManifestError>, Manifest> read(byte[] json) {
+        if (json.length > MAX_BYTES) {
+            return tooLarge();
+        }
+        ManifestReporter reporter = new ManifestReporter();
+        Manifest manifest = parse(json, reporter);
+        List<ManifestError> errors = reporter.errors();
+        return errors.isEmpty() ? Either.right(manifest) : Either.left(errors);
+    }
+
+    /**
+     * Reads a manifest from a stream, at most {@link #MAX_BYTES} of it.
+     *
+     * @param in the text in UTF-8; stays open
+     * @return the manifest, or all errors
+     * @throws IOException if the stream fails
+     */
+    public static Either<List<ManifestError>, Manifest> read(InputStream in) throws IOException {
+        return read(in.readNBytes(MAX_BYTES + 1));
+    }
+
+    private static Manifest parse(byte[] json, ManifestReporter reporter) {
+        try (JsonParser parser = JSON.createParser(json)) {
+            return new ManifestDocument(parser, reporter).read();
+        } catch (IOException e) {
+            reporter.report("$", "not readable as UTF-8 JSON: " + e.getMessage());
+            return null;
+        }
+    }
+
+    private static Either<List<ManifestError>, Manifest> tooLarge() {
+        String message = "the manifest is larger than " + MAX_BYTES + " bytes (64 MB)";
+        return Either.left(List.of(new ManifestError("$", message)));
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/manifest/internal/JsonPathUtil.java
@@ -0,0 +1,35 @@
+package org.lycheetray.core.manifest.internal;
+
+import com.fasterxml.jackson.core.JsonStreamContext;
+import java.util.regex.Pattern;
+
+/** Writes JSON paths as in RFC 9535, for example {@code $.services[2].name}. */
+final class JsonPathUtil {
+    static final String ROOT = "$";
+
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z_][A-Za-z0-9_]*");
+
+    private JsonPathUtil() {}
+
+    static String field(String path, String key) {
+        if (PLAIN.matcher(key).matches()) {
+            return path + "." + key;
+        }
+        return path + "['" + key.replace("\\", "\\\\").replace("'", "\\'") + "']";
+    }
+
+    static String element(String path, int index) {
+        return path + "[" + index + "]";
+    }
+
+    static String of(JsonStreamContext context) {
+        if (context == null || context.inRoot()) {
+            return ROOT;
+        }
+        String parent = of(context.getParent());
+        if (context.inArray()) {
+            return context.hasCurrentIndex() ? element(parent, context.getCurrentIndex()) : parent;
+        }
+        return context.hasCurrentName() ? field(parent, context.getCurrentName()) : parent;
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/manifest/internal/ObjectFields.java
@@ -0,0 +1,233 @@
+package org.lycheetray.core.manifest.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.NameUtil;
+
+/**
+ * Typed access to the fields of one JSON object.
+ *
+ * <p>A missing field or one of the wrong type is reported, and a stand-in value of the right type is given back, so that
+ * the caller reads on and finds the other errors too. The values are used only if nothing at all was reported.
+ */
+final class ObjectFields {
+    private static final String STAND_IN_NAME = "invalid";
+    private static final Endpoint STAND_IN_ENDPOINT = new Endpoint("127.0.0.1", 1);
+
+    private final ObjectNode node;
+    private final String path;
+    private final ManifestReporter reporter;
+    private final Set<String> known = new HashSet<>();
+
+    ObjectFields(JsonNode node, String path, ManifestReporter reporter) {
+        this.path = path;
+        this.reporter = reporter;
+        if (node instanceof ObjectNode object) {
+            this.node = object;
+        } else {
+            this.node = null;
+            wrongType(path, "an object", node);
+        }
+    }
+
+    /** Tells whether there are fields at all; if not, that has been reported. */
+    boolean isPresent() {
+        return node != null;
+    }
+
+    String pathOf(String field) {
+        return JsonPathUtil.field(path, field);
+    }
+
+    boolean has(String field) {
+        known.add(field);
+        return node.has(field);
+    }
+
+    Optional<String> text(String field) {
+        return required(field).flatMap(v -> {
+            if (v.isTextual()) {
+                return Optional.of(v.textValue());
+            }
+            wrongType(pathOf(field), "a string", v);
+            return Optional.empty();
+        });
+    }
+
+    /** Reads a name and hands it on unless it was bad. */
+    String name(String field, Consumer<String> use) {
+        Optional<String> text = text(field);
+        if (text.isEmpty()) {
+            return STAND_IN_NAME;
+        }
+        if (!NameUtil.isName(text.get())) {
+            reporter.report(
+                    pathOf(field),
+                    "expected a name of at most " + NameUtil.MAX_LENGTH
+                            + " lower-case letters, digits and inner hyphens but was "
+                            + quote(text.get()));
+            return STAND_IN_NAME;
+        }
+        use.accept(text.get());
+        return text.get();
+    }
+
+    Endpoint endpoint(String field, Consumer<String> use) {
+        Optional<String> text = text(field);
+        if (text.isEmpty()) {
+            return STAND_IN_ENDPOINT;
+        }
+        try {
+            Endpoint endpoint = Endpoint.parse(text.get());
+            if (!AddressUtil.isIpNumber(endpoint.host())) {
+                reporter.report(pathOf(field), "expected an IP number and a port but was " + quote(text.get()));
+            }
+            use.accept(endpoint.toString());
+            return endpoint;
+        } catch (IllegalArgumentException e) {
+            reporter.report(pathOf(field), e.getMessage());
+            return STAND_IN_ENDPOINT;
+        }
+    }
+
+    long integer(String field, long min, long max) {
+        return required(field).map(v -> checkInteger(field, v, min, max)).orElse(min);
+    }
+
+    long integer(String field, long min, long max, long absent) {
+        return has(field) ? integer(field, min, max) : absent;
+    }
+
+    int smallInteger(String field, int min, int max) {
+        return (int) integer(field, min, max);
+    }
+
+    Duration millis(String field, Duration min, Duration max) {
+        return Duration.ofMillis(integer(field, min.toMillis(), max.toMillis()));
+    }
+
+    Duration millis(String field, Duration min, Duration max, Duration absent) {
+        return has(field) ? millis(field, min, max) : absent;
+    }
+
+    boolean bool(String field) {
+        return required(field)
+                .map(v -> {
+                    if (!v.isBoolean()) {
+                        wrongType(pathOf(field), "true or false", v);
+                    }
+                    return v.booleanValue();
+                })
+                .orElse(false);
+    }
+
+    Instant instant(String field) {
+        Optional<String> text = text(field);
+        if (text.isEmpty()) {
+            return Instant.EPOCH;
+        }
+        try {
+            return Instant.parse(text.get());
+        } catch (DateTimeParseException e) {
+            reporter.report(pathOf(field), "expected a time as 2026-01-31T12:00:00Z but was " + quote(text.get()));
+            return Instant.EPOCH;
+        }
+    }
+
+    ArrayNode array(String field) {
+        Optional<JsonNode> value = required(field);
+        if (value.isPresent() && value.get() instanceof ArrayNode array) {
+            return array;
+        }
+        value.ifPresent(v -> wrongType(pathOf(field), "an array", v));
+        return JsonNodeFactory.instance.arrayNode();
+    }
+
+    /** Reads each element of an array of objects. */
+    void objects(String field, Consumer<ObjectFields> use) {
+        ArrayNode array = array(field);
+        for (int i = 0; i < array.size(); i++) {
+            ObjectFields element = new ObjectFields(array.get(i), JsonPathUtil.element(pathOf(field), i), reporter);
+            element.read(use);
+        }
+    }
+
+    /** Reads a nested object; does nothing if it is missing or of another type, which is reported. */
+    void object(String field, Consumer<ObjectFields> use) {
+        required(field).ifPresent(v -> new ObjectFields(v, pathOf(field), reporter).read(use));
+    }
+
+    /** Hands this object on, then reports the fields that were not asked for. */
+    void read(Consumer<ObjectFields> use) {
+        if (!isPresent()) {
+            return;
+        }
+        use.accept(this);
+        node.fieldNames().forEachRemaining(field -> {
+            if (!known.contains(field)) {
+                reporter.report(pathOf(field), "unknown field");
+            }
+        });
+    }
+
+    void report(String field, String message) {
+        reporter.report(pathOf(field), message);
+    }
+
+    void reportAt(String valuePath, String message) {
+        reporter.report(valuePath, message);
+    }
+
+    void reportHere(String message) {
+        reporter.report(path, message);
+    }
+
+    static String quote(String text) {
+        int longest = 100;
+        return '"' + (text.length() > longest ? text.substring(0, longest) + "..." : text) + '"';
+    }
+
+    private Optional<JsonNode> required(String field) {
+        if (!has(field)) {
+            reporter.report(pathOf(field), "missing field");
+            return Optional.empty();
+        }
+        return Optional.of(node.get(field));
+    }
+
+    private long checkInteger(String field, JsonNode v, long min, long max) {
+        if (!v.isNumber()) {
+            wrongType(pathOf(field), "an integer", v);
+            return min;
+        }
+        if (!v.isIntegralNumber() || !v.canConvertToLong() || v.longValue() < min || v.longValue() > max) {
+            reporter.report(pathOf(field), "expected an integer from " + min + " to " + max + " but was " + v);
+            return min;
+        }
+        return v.longValue();
+    }
+
+    private void wrongType(String at, String expected, JsonNode found) {
+        reporter.report(at, "expected " + expected + " but was " + describe(found));
+    }
+
+    private static String describe(JsonNode found) {
+        return switch (found.getNodeType()) {
+            case OBJECT -> "an object";
+            case ARRAY -> "an array";
+            case STRING -> "the string " + quote(found.textValue());
+            case NULL -> "null";
+            default -> found.asText();
+        };
+    }
+}
--- a/lycheetray-core/src/main/java/org/lycheetray/core/model/Policy.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/model/Policy.java
@@ -13,8 +13,8 @@
  * @param maxBodyBytes largest request body accepted
  */
 public record Policy(
-        Duration keyFreshnessLimit,
-        Duration lookupTtl,
-        Duration claimHorizon,
-        Duration drainLimit,
-        long maxBodyBytes) {}
+        Duration keyFreshnessLimit, Duration lookupTtl, Duration claimHorizon, Duration drainLimit, long maxBodyBytes) {
+    /** What applies where a manifest says nothing. */
+    public static final Policy DEFAULT = new Policy(
+            Duration.ofSeconds(10), Duration.ofSeconds(30), Duration.ofHours(24), Duration.ofSeconds(60), 16L << 20);
+}
