--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fair/FairQueuePropertyTest.java
@@ -0,0 +1,57 @@
+package org.lycheetray.core.fair;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.time.MonotonicTime;
+
+class FairQueuePropertyTest {
+    private static final FairQueueLimits LIMITS = new FairQueueLimits(8, 5);
+
+    @Property(seed = "4", tries = 200)
+    void everyOfferedRequestComesBackExactlyOnce(@ForAll long seed) {
+        Random random = new Random(seed);
+        FairQueue<Integer> queue = new FairQueue<>(LIMITS);
+        List<Integer> back = new ArrayList<>();
+        MonotonicTime now = MonotonicTime.ZERO;
+        for (int i = 0; i < 200; i++) {
+            now = now.plus(Duration.ofMillis(random.nextInt(3)));
+            ClientAccountName account = new ClientAccountName("a" + random.nextInt(4));
+            collect(queue.offer(account, 1 + random.nextInt(3), i, now.plus(millis(random)), now), i, back);
+            if (random.nextInt(3) > 0) {
+                collect(queue.take(now), now, back);
+            }
+            assertThat(queue.size()).isLessThanOrEqualTo(LIMITS.total());
+        }
+        queue.expire(now.plus(Duration.ofSeconds(1))).forEach(t -> back.add(t.item()));
+
+        assertThat(back).doesNotHaveDuplicates().hasSize(200);
+        assertThat(queue.size()).isZero();
+    }
+
+    private static Duration millis(Random random) {
+        return Duration.ofMillis(random.nextInt(30));
+    }
+
+    private static void collect(Offer<Integer> offer, int item, List<Integer> back) {
+        switch (offer) {
+            case Offer.Queued<Integer> q -> {}
+            case Offer.Displaced<Integer> d -> back.add(d.displaced().item());
+            case Offer.Refused<Integer> r -> back.add(item);
+        }
+    }
+
+    private static void collect(Selection<Integer> selection, MonotonicTime now, List<Integer> back) {
+        selection.expired().forEach(t -> back.add(t.item()));
+        selection.next().ifPresent(t -> {
+            assertThat(now).isLessThan(t.deadline());
+            back.add(t.item());
+        });
+    }
+}
