--- /dev/null
+++ b/lycheetray-platform/src/main/java/org/lycheetray/platform/memory/MemoryVmList.java
@@ -0,0 +1,41 @@
+package org.lycheetray.platform.memory;
+
+import java.time.Instant;
+import java.util.List;
+import org.lycheetray.platform.VmList;
+import org.lycheetray.platform.VmListing;
+import reactor.core.publisher.Mono;
+
+/** A list of VMs in memory that shows what it was last told. */
+public final class MemoryVmList implements VmList {
+    private final Faults faults;
+    private volatile VmListing listing = new VmListing(Instant.EPOCH, List.of());
+
+    /** Creates an empty list without faults. */
+    public MemoryVmList() {
+        this(new Faults(0));
+    }
+
+    /**
+     * Creates an empty list.
+     *
+     * @param faults switches that apply to every call
+     */
+    public MemoryVmList(Faults faults) {
+        this.faults = faults;
+    }
+
+    /**
+     * Replaces the list.
+     *
+     * @param listing the new list
+     */
+    public void show(VmListing listing) {
+        this.listing = listing;
+    }
+
+    @Override
+    public Mono<VmListing> current() {
+        return faults.apply("vms.list", Mono.fromSupplier(() -> listing));
+    }
+}
