--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/config/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the configuration state machines. */
+package org.lycheetray.core.config.internal;
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/config/TestFleet.java
@@ -0,0 +1,232 @@
+package org.lycheetray.core.config;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.lycheetray.core.model.ConfigVersion;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.Vm;
+import org.lycheetray.core.table.Row;
+import org.lycheetray.core.table.RowChange;
+import org.lycheetray.core.table.WriteResult;
+import org.lycheetray.core.time.MonotonicTime;
+
+/** VMs around one table, whose messages and table calls take effect in random order, late or never. */
+final class TestFleet {
+    static final int KEYS = 64;
+
+    /** One process. */
+    final class Node {
+        final Vm vm;
+        final Incarnation incarnation;
+        final ConfigKeeper keeper;
+        final Map<Incarnation, PeerView> views = new HashMap<>();
+
+        Node(Vm vm) {
+            this.vm = vm;
+            incarnation = new Incarnation(vm.name(), ++incarnations);
+            keeper = new ConfigKeeper(incarnation, vm.dataCentre());
+        }
+
+        private void handle(ConfigEvent event) {
+            if (nodes.get(vm) != this) {
+                return;
+            }
+            for (ConfigEffect effect : keeper.handle(event, now)) {
+                if (effect instanceof ConfigEffect.Fetch f) {
+                    surely(() -> fetch(f));
+                }
+            }
+        }
+
+        private void fetch(ConfigEffect.Fetch f) {
+            Optional<LoadedConfig> found = reachesStore()
+                    ? Optional.ofNullable(objects.get(f.ref()))
+                    : f.peer()
+                            .flatMap(p -> nodes.values().stream()
+                                    .filter(n -> n.vm.name().equals(p) && reaches(n))
+                                    .flatMap(n -> n.keeper.manifest(f.ref()).stream())
+                                    .map(m -> new LoadedConfig(f.ref(), m))
+                                    .findFirst());
+            ConfigEvent answer = found.<ConfigEvent>map(l -> new ConfigEvent.ManifestLoaded(l.ref(), l.manifest()))
+                    .orElse(new ConfigEvent.ManifestFailed(f.ref()));
+            surely(() -> handle(answer));
+        }
+
+        private boolean reachesStore() {
+            return storeUp && !cutOff.contains(vm.dataCentre());
+        }
+
+        private boolean reaches(Node o) {
+            return vm.dataCentre().equals(o.vm.dataCentre())
+                    || !(cutOff.contains(vm.dataCentre()) || cutOff.contains(o.vm.dataCentre()));
+        }
+
+        void poll() {
+            MonotonicTime sentAt = now;
+            later(() -> table(() -> table.read(ConfigRows.HEAD).ifPresent(row -> {
+                ConfigHead head = ConfigRows.decodeHead(row).get();
+                later(() -> handle(new ConfigEvent.HeadRead(head, sentAt)));
+            })));
+        }
+
+        void probe(Node peer) {
+            MonotonicTime sentAt = now;
+            later(() -> {
+                if (reaches(peer) && nodes.get(peer.vm) == peer) {
+                    PeerView view = peer.keeper.view(now);
+                    later(() -> {
+                        views.put(view.incarnation(), view);
+                        handle(new ConfigEvent.PeerAnswered(view, sentAt));
+                    });
+                }
+            });
+        }
+
+        void register() {
+            later(() -> table(() -> {
+                Optional<Row> row = table.read(ConfigRows.voters(vm.dataCentre()));
+                Optional<List<RowChange>> write = ConfigLead.register(incarnation, vm.dataCentre(), row, Instant.EPOCH)
+                        .get();
+                if (write.isEmpty()) {
+                    later(() -> handle(new ConfigEvent.Registered(now)));
+                } else if (nodes.get(vm) == this) {
+                    later(() -> table(() -> table.write(write.get())));
+                }
+            }));
+        }
+
+        void lead() {
+            table(() -> {
+                Optional<Row> voters = table.read(ConfigRows.voters(vm.dataCentre()));
+                List<Row> acks = table.scan(ConfigRows.ACK_PREFIX);
+                later(() -> table(() -> table.read(ConfigRows.HEAD).ifPresent(head -> {
+                    views.put(incarnation, keeper.view(now));
+                    ConfigTable read = new ConfigTable(head, voters, acks, Optional.empty());
+                    for (List<RowChange> write : ConfigLead.decide(vm.dataCentre(), read, keeper, views.values())
+                            .get()) {
+                        later(() -> table(() -> write(write)));
+                    }
+                })));
+            });
+        }
+
+        private void table(Runnable call) {
+            if (reachesStore()) {
+                call.run();
+            }
+        }
+    }
+
+    final Random random;
+    final Map<Vm, Node> nodes = new HashMap<>();
+    final TestTable table = new TestTable();
+    final Map<ConfigRef, LoadedConfig> objects = new HashMap<>();
+    final Map<ConfigVersion, MonotonicTime> acceptedAt = new HashMap<>();
+    final Set<DataCentreName> cutOff = new HashSet<>();
+    MonotonicTime now = MonotonicTime.ZERO;
+    boolean storeUp = true;
+    private final List<Vm> vms;
+
+    private record InFlight(Runnable effect, boolean mayBeLost) {}
+
+    private final List<InFlight> inFlight = new ArrayList<>();
+    private long incarnations;
+
+    TestFleet(long seed, int dataCentres, int perDataCentre) {
+        random = new Random(seed);
+        vms = TestManifests.vms(dataCentres, perDataCentre);
+        submit(vms);
+        vms.forEach(this::restart);
+    }
+
+    void restart(Vm vm) {
+        nodes.put(vm, new Node(vm));
+    }
+
+    Node anyNode() {
+        return nodes.get(vms.get(random.nextInt(vms.size())));
+    }
+
+    List<Vm> vms() {
+        return vms;
+    }
+
+    ConfigHead head() {
+        return ConfigRows.decodeHead(table.read(ConfigRows.HEAD).orElseThrow()).get();
+    }
+
+    /** Submits a version that withdraws one more key. */
+    SubmitResult submit(List<Vm> declared) {
+        ConfigVersion base = table.read(ConfigRows.HEAD)
+                .map(r -> ConfigRows.decodeHead(r).get().version())
+                .orElse(ConfigVersion.NONE);
+        LoadedConfig next = TestManifests.loaded(
+                base.next().number(),
+                TestManifests.withdrawing(declared, base.next().number(), KEYS));
+        Submitter submitter =
+                new Submitter(base, next.ref().digest(), new Submission("s-" + base, "op", Instant.EPOCH));
+        SubmitEffect effect = submitter.start();
+        while (!(effect instanceof SubmitEffect.Finished)) {
+            effect = submitter.handle(perform(effect, next));
+        }
+        return ((SubmitEffect.Finished) effect).result();
+    }
+
+    private SubmitEvent perform(SubmitEffect effect, LoadedConfig next) {
+        return switch (effect) {
+            case SubmitEffect.ReadHead _ -> new SubmitEvent.HeadRead(table.read(ConfigRows.HEAD));
+            case SubmitEffect.PutObject p -> {
+                objects.put(p.ref(), next);
+                yield new SubmitEvent.ObjectStored();
+            }
+            case SubmitEffect.Write w -> new SubmitEvent.Written(write(w.changes()));
+            case SubmitEffect.ReadVersion r -> new SubmitEvent.VersionRead(table.read(r.key()));
+            case SubmitEffect.Finished _ -> throw new IllegalStateException("nothing to perform");
+        };
+    }
+
+    private WriteResult write(List<RowChange> changes) {
+        WriteResult result = table.write(changes);
+        table.read(ConfigRows.HEAD)
+                .ifPresent(r -> acceptedAt.putIfAbsent(head().accepted().version(), now));
+        return result;
+    }
+
+    void later(Runnable r) {
+        inFlight.add(new InFlight(r, true));
+    }
+
+    /** A fetch always ends with an answer, if need be by its timeout. */
+    private void surely(Runnable r) {
+        inFlight.add(new InFlight(r, false));
+    }
+
+    void pass(Duration d) {
+        now = now.plus(d);
+    }
+
+    /** Lets one thing in flight happen, or be lost. */
+    void deliver(boolean mayLose) {
+        if (!inFlight.isEmpty()) {
+            InFlight one = inFlight.remove(random.nextInt(inFlight.size()));
+            if (!mayLose || !one.mayBeLost() || random.nextInt(10) > 0) {
+                one.effect().run();
+            }
+        }
+    }
+
+    void deliverAll() {
+        while (!inFlight.isEmpty()) {
+            deliver(false);
+        }
+    }
+}
