Focused tests of freshness, votes and racing submissions

Cause: random histories alone did not notice a vote without a synced read. Change: tests of each rule; histories with one VM of each data centre cut off.

--- a/lycheetray-core/src/test/java/org/lycheetray/core/config/ConfigHistoryTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/config/ConfigHistoryTest.java
@@ -59,7 +59,7 @@
             n.register();
         } else if (choice < 92) {
             n.lead();
-        } else if (choice < 94) {
+        } else if (choice < 93) {
             f.restart(n.vm);
         } else {
             disturb(f, choice);
@@ -68,13 +68,14 @@
 
     private static void disturb(TestFleet f, int choice) {
         switch (choice) {
-            case 94, 95 -> {
+            case 93, 94, 95 -> {
                 if (f.storeUp && f.head().version().number() < TestFleet.KEYS - 2) {
                     f.submit(f.random.nextInt(4) > 0 ? f.vms() : someVms(f));
                 }
             }
             case 96 -> f.storeUp = f.random.nextInt(3) > 0;
-            case 97 -> f.cutOff.add(f.anyNode().vm.dataCentre());
+            case 97 -> f.halved = f.random.nextInt(3) > 0;
+            case 98 -> f.cutOff.add(f.anyNode().vm.dataCentre());
             default -> f.cutOff.clear();
         }
     }
@@ -114,6 +115,7 @@
 
     private static void heal(TestFleet f) {
         f.storeUp = true;
+        f.halved = false;
         f.cutOff.clear();
         for (int round = 0; round < 6; round++) {
             for (Node n : f.nodes.values()) {
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/config/ConfigKeeperTest.java
@@ -0,0 +1,164 @@
+package org.lycheetray.core.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.ClientAccount;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.KeyHash;
+import org.lycheetray.core.model.Rate;
+import org.lycheetray.core.model.RouteClass;
+import org.lycheetray.core.time.MonotonicTime;
+
+class ConfigKeeperTest {
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+
+    private final LoadedConfig first = config(1, List.of(TestManifests.key(1), TestManifests.key(2)), 100);
+    private final LoadedConfig second = config(2, List.of(TestManifests.key(2), TestManifests.key(3)), 50);
+    private final ConfigKeeper keeper =
+            new ConfigKeeper(new Incarnation(TestManifests.vm(0, 0), 1), TestManifests.dataCentre(0));
+
+    @Test
+    void trustsNoKeyAfterStart() {
+        assertThat(trust(at(0))).isEqualTo(KeyTrust.NONE);
+    }
+
+    @Test
+    void pendingWithdrawsKeysAndLowersRatesAtOnce() {
+        accept(first, 0);
+        read(second, first, 1);
+        load(second, 1);
+        ClientAccount shop = account();
+        assertThat(shop.keyHashes()).containsExactly(TestManifests.key(2));
+        assertThat(shop.rate()).isEqualTo(new Rate(50, 50));
+    }
+
+    @Test
+    void acceptanceExtends() {
+        accept(first, 0);
+        read(second, first, 1);
+        load(second, 1);
+        read(second, second, 2);
+        assertThat(account().keyHashes()).contains(TestManifests.key(3));
+    }
+
+    @Test
+    void neverReverts() {
+        accept(second, 0);
+        read(first, first, 1);
+        load(first, 1);
+        assertThat(keeper.effective().orElseThrow().accepted()).isEqualTo(second.ref());
+    }
+
+    @Test
+    void cutOffVmRefusesOnceFirstThenAll() {
+        accept(first, 0);
+        assertThat(trust(at(2))).isEqualTo(KeyTrust.ALL);
+        assertThat(trust(at(5)).permits(RouteClass.READ)).isTrue();
+        assertThat(trust(at(5)).permits(RouteClass.ONCE)).isFalse();
+        assertThat(trust(at(14))).isEqualTo(KeyTrust.NONE);
+    }
+
+    @Test
+    void readOfUnloadedVersionIsNoEvidence() {
+        accept(first, 0);
+        read(second, second, 10);
+        assertThat(keeper.confirmedAt()).contains(at(0));
+        load(second, 11);
+        assertThat(keeper.confirmedAt()).contains(at(10));
+    }
+
+    @Test
+    void mayVoteOnlyWithAllThatRegistrationPreceded() {
+        accept(first, 0);
+        keeper.handle(new ConfigEvent.Registered(at(5)), at(5));
+        read(second, first, 4);
+        assertThat(keeper.view(at(6)).isVoter()).isFalse();
+        read(second, first, 6);
+        assertThat(keeper.view(at(7)).isVoter()).isFalse();
+        load(second, 8);
+        assertThat(keeper.view(at(8)).isVoter()).isTrue();
+    }
+
+    @Test
+    void majorityOfDataCentresIsEvidence() {
+        accept(first, 0);
+        hear(1, first, 20);
+        assertThat(keeper.confirmedAt()).contains(at(0));
+        hear(2, first, 21);
+        assertThat(keeper.confirmedAt()).contains(at(20));
+    }
+
+    @Test
+    void voterWithNewerVersionIsNoEvidenceUntilLoaded() {
+        accept(first, 0);
+        hear(1, first, 20);
+        hear(2, second, 20);
+        assertThat(keeper.confirmedAt()).contains(at(0));
+        load(second, 21);
+        assertThat(keeper.confirmedAt()).contains(at(20));
+    }
+
+    @Test
+    void peersEvidenceCountsFromWhenProbeWasSent() {
+        accept(first, 0);
+        PeerView view = view(
+                1,
+                first,
+                false,
+                Optional.of(new Confirmation(Duration.ofSeconds(2), first.ref().version())));
+        keeper.handle(new ConfigEvent.PeerAnswered(view, at(30)), at(31));
+        assertThat(keeper.confirmedAt()).contains(at(28));
+    }
+
+    private void accept(LoadedConfig c, long second) {
+        read(c, c, second);
+        load(c, second);
+    }
+
+    private void read(LoadedConfig current, LoadedConfig accepted, long second) {
+        ConfigHead head = new ConfigHead(current.ref(), new Submission("s", "op", Instant.EPOCH), accepted.ref());
+        keeper.handle(new ConfigEvent.HeadRead(head, at(second)), at(second));
+    }
+
+    private void load(LoadedConfig c, long second) {
+        keeper.handle(new ConfigEvent.ManifestLoaded(c.ref(), c.manifest()), at(second));
+    }
+
+    private void hear(int dataCentre, LoadedConfig accepted, long second) {
+        PeerView view = view(dataCentre, accepted, true, Optional.empty());
+        keeper.handle(new ConfigEvent.PeerAnswered(view, at(second)), at(second));
+    }
+
+    private PeerView view(int dataCentre, LoadedConfig accepted, boolean voter, Optional<Confirmation> c) {
+        return new PeerView(
+                new Incarnation(TestManifests.vm(dataCentre, 0), 1),
+                TestManifests.dataCentre(dataCentre),
+                Optional.of(accepted.ref()),
+                Optional.empty(),
+                c,
+                voter,
+                keeper.view(at(0)).dataCentres());
+    }
+
+    private ClientAccount account() {
+        return keeper.effective().orElseThrow().manifest().clientAccounts().getFirst();
+    }
+
+    private KeyTrust trust(MonotonicTime now) {
+        return ConfigKeeper.trust(keeper.confirmedAt(), LIMIT, now);
+    }
+
+    private static MonotonicTime at(long second) {
+        return MonotonicTime.ZERO.plus(Duration.ofSeconds(second));
+    }
+
+    private static LoadedConfig config(long version, List<KeyHash> keys, long rate) {
+        return TestManifests.loaded(
+                version, TestManifests.manifest(TestManifests.vms(3, 1), keys, new Rate(rate, rate)));
+    }
+}
--- a/lycheetray-core/src/test/java/org/lycheetray/core/config/TestFleet.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/config/TestFleet.java
@@ -62,10 +62,17 @@
         }
 
         private boolean reachesStore() {
-            return storeUp && !cutOff.contains(vm.dataCentre());
+            return storeUp && !cutOff.contains(vm.dataCentre()) && !(halved && inLesserHalf());
+        }
+
+        private boolean inLesserHalf() {
+            return vms.indexOf(vm) % 2 == 1;
         }
 
         private boolean reaches(Node o) {
+            if (halved && inLesserHalf() != o.inLesserHalf()) {
+                return false;
+            }
             return vm.dataCentre().equals(o.vm.dataCentre())
                     || !(cutOff.contains(vm.dataCentre()) || cutOff.contains(o.vm.dataCentre()));
         }
@@ -134,6 +141,9 @@
     final Set<DataCentreName> cutOff = new HashSet<>();
     MonotonicTime now = MonotonicTime.ZERO;
     boolean storeUp = true;
+    /** True while one VM of each data centre reaches neither the store nor the other half. */
+    boolean halved;
+
     private final List<Vm> vms;
 
     private record InFlight(Runnable effect, boolean mayBeLost) {}
