--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/membership/internal/LeadRow.java
@@ -0,0 +1,56 @@
+package org.lycheetray.core.membership.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.Optional;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.VmName;
+
+/**
+ * Content of a lease row.
+ *
+ * @param holder process that holds the lease
+ * @param term fencing number; grows with each change of holder
+ * @param renewal counts the holder's writes, so that one can be recognised after its answer was lost
+ * @param released true if the holder gave the lease up
+ */
+public record LeadRow(Incarnation holder, long term, long renewal, boolean released) {
+    private static final JsonMapper MAPPER = new JsonMapper();
+
+    /**
+     * Writes the content as JSON.
+     *
+     * @return JSON text
+     */
+    public String toJson() {
+        return MAPPER.createObjectNode()
+                .put("vm", holder.vm().value())
+                .put("incarnation", holder.number())
+                .put("term", term)
+                .put("renewal", renewal)
+                .put("released", released)
+                .toString();
+    }
+
+    /**
+     * Reads the content.
+     *
+     * @param json JSON text
+     * @return the content, empty if the text is something else
+     */
+    public static Optional<LeadRow> parse(String json) {
+        try {
+            JsonNode n = MAPPER.readTree(json);
+            Incarnation holder = new Incarnation(
+                    new VmName(n.path("vm").asText()), n.path("incarnation").asLong());
+            return Optional.of(new LeadRow(
+                    holder,
+                    n.path("term").asLong(),
+                    n.path("renewal").asLong(),
+                    n.path("released").asBoolean()));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/membership/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the membership state machine. */
+package org.lycheetray.core.membership.internal;
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/membership/LeadLeaseTest.java
@@ -0,0 +1,138 @@
+package org.lycheetray.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.table.Row;
+import org.lycheetray.core.table.WriteResult;
+import org.lycheetray.core.time.MonotonicTime;
+
+class LeadLeaseTest {
+    private static final LeadLeaseSettings SETTINGS = LeadLeaseSettings.STANDARD;
+
+    /** A table of one row, whose answers can be lost before or after the write. */
+    private static final class FakeTable {
+        private Optional<Row> row = Optional.empty();
+        private boolean down;
+        private boolean loseAnswers;
+
+        List<LeadEffect> carryOut(LeadLease lease, LeadEffect effect, MonotonicTime now) {
+            return switch (effect) {
+                case LeadEffect.ReadRow r when down -> lease.readFailed(now);
+                case LeadEffect.ReadRow r -> lease.rowRead(row, now);
+                case LeadEffect.WriteRow w when down -> lease.written(new WriteResult.Unknown("down"), now);
+                case LeadEffect.WriteRow w -> write(lease, w, now);
+            };
+        }
+
+        private List<LeadEffect> write(LeadLease lease, LeadEffect.WriteRow w, MonotonicTime now) {
+            long present = row.map(Row::revision).orElse(0L);
+            if (present != w.change().expectedRevision()) {
+                return lease.written(new WriteResult.Conflict(row.stream().toList()), now);
+            }
+            row = Optional.of(new Row(w.change().key(), present + 1, w.change().value()));
+            return lease.written(
+                    loseAnswers ? new WriteResult.Unknown("answer lost") : new WriteResult.Applied(present + 1), now);
+        }
+    }
+
+    private final FakeTable table = new FakeTable();
+    private final Incarnation a = new Incarnation(new VmName("a"), 1);
+    private final Incarnation b = new Incarnation(new VmName("b"), 2);
+    private final LeadLease leaseA = lease(a);
+    private final LeadLease leaseB = lease(b);
+    private MonotonicTime now = MonotonicTime.ZERO;
+
+    private static LeadLease lease(Incarnation self) {
+        return LeadLease.create(new DataCentreName("d"), self, SETTINGS, MonotonicTime.ZERO);
+    }
+
+    private void run(LeadLease lease, Incarnation candidate, Duration d) {
+        for (long ms = 0; ms < d.toMillis(); ms += 500) {
+            now = now.plus(Duration.ofMillis(500));
+            step(lease, Optional.of(candidate));
+        }
+    }
+
+    private void step(LeadLease lease, Optional<Incarnation> candidate) {
+        List<LeadEffect> due = new ArrayList<>(lease.tick(candidate, now));
+        while (!due.isEmpty()) {
+            due.addAll(table.carryOut(lease, due.removeFirst(), now));
+        }
+    }
+
+    @Test
+    void candidateTakesAFreeLease() {
+        run(leaseA, a, Duration.ofSeconds(1));
+        assertThat(leaseA.authority(now)).isEqualTo(LeadAuthority.LEASED);
+        assertThat(leaseA.term()).isEqualTo(1);
+    }
+
+    @Test
+    void pausedHolderNoticesThatItsLeaseLapsed() {
+        run(leaseA, a, Duration.ofSeconds(1));
+        assertThat(leaseA.isLead(now.plus(SETTINGS.duration()))).isFalse();
+    }
+
+    @Test
+    void contenderWaitsOutTheLeaseAndGetsAHigherTerm() {
+        run(leaseA, a, Duration.ofSeconds(1));
+        run(leaseB, b, Duration.ofSeconds(9));
+        assertThat(leaseB.isLead(now)).isFalse();
+        run(leaseB, b, Duration.ofSeconds(6));
+        assertThat(leaseB.isLead(now)).isTrue();
+        assertThat(leaseB.term()).isEqualTo(2);
+    }
+
+    @Test
+    void releasedLeaseIsTakenAtOnce() {
+        run(leaseA, a, Duration.ofSeconds(1));
+        leaseA.release(now).forEach(e -> table.carryOut(leaseA, e, now));
+        run(leaseB, b, Duration.ofSeconds(1));
+        assertThat(leaseA.isLead(now)).isFalse();
+        assertThat(leaseB.isLead(now)).isTrue();
+    }
+
+    @Test
+    void writeWhoseAnswerWasLostIsSettledByReadingBack() {
+        table.loseAnswers = true;
+        run(leaseA, a, Duration.ofSeconds(1));
+        assertThat(leaseA.isLead(now)).isFalse();
+        table.loseAnswers = false;
+        run(leaseA, a, Duration.ofSeconds(4));
+        assertThat(leaseA.isLead(now)).isTrue();
+    }
+
+    @Test
+    void lastLeadGoesOnActingWhileTheStoreIsDown() {
+        run(leaseA, a, Duration.ofSeconds(1));
+        table.down = true;
+        run(leaseA, a, Duration.ofSeconds(30));
+        assertThat(leaseA.authority(now)).isEqualTo(LeadAuthority.ACTING);
+        table.down = false;
+        run(leaseA, a, Duration.ofSeconds(4));
+        assertThat(leaseA.authority(now)).isEqualTo(LeadAuthority.LEASED);
+    }
+
+    @Property(seed = "605", tries = 200)
+    void neverTwoHolders(@ForAll Random random) {
+        for (int i = 0; i < 400; i++) {
+            now = now.plus(Duration.ofMillis(random.nextInt(1500)));
+            table.down = random.nextInt(4) == 0;
+            table.loseAnswers = random.nextInt(4) == 0;
+            LeadLease one = random.nextBoolean() ? leaseA : leaseB;
+            step(one, Optional.of(one == leaseA ? a : b));
+            assertThat(leaseA.isLead(now) && leaseB.isLead(now)).isFalse();
+        }
+    }
+}
