Protocol: Thrift messages in authenticated frames

Cause: daemons need one typed, size-limited protocol that a stranger cannot speak. Conclusion: transport can be built on it.

--- /dev/null
+++ b/lycheetray-protocol/src/main/java/org/lycheetray/protocol/FleetSecret.java
@@ -0,0 +1,66 @@
+package org.lycheetray.protocol;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** The secret that all entry VMs of a fleet share; its text is never shown. */
+public final class FleetSecret {
+    /** Fewest characters of a secret. */
+    public static final int MIN_LENGTH = 16;
+
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private final byte[] bytes;
+
+    private FleetSecret(byte[] bytes) {
+        this.bytes = bytes;
+    }
+
+    /**
+     * Takes a secret from its text.
+     *
+     * @param text the secret, surrounding white space is dropped
+     * @return the secret
+     * @throws IllegalArgumentException if it is shorter than {@value #MIN_LENGTH} characters
+     */
+    public static FleetSecret of(String text) {
+        String trimmed = text.strip();
+        if (trimmed.length() < MIN_LENGTH) {
+            throw new IllegalArgumentException("a fleet secret has at least " + MIN_LENGTH + " characters");
+        }
+        return new FleetSecret(trimmed.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Derives a key for one purpose.
+     *
+     * @param parts byte strings that name the purpose
+     * @return 32 bytes
+     */
+    byte[] derive(byte[]... parts) {
+        Mac mac = macOf(bytes);
+        for (byte[] part : parts) {
+            mac.update((byte) (part.length >>> 8));
+            mac.update((byte) part.length);
+            mac.update(part);
+        }
+        return mac.doFinal();
+    }
+
+    static Mac macOf(byte[] key) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key, ALGORITHM));
+            return mac;
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("this Java runtime has no " + ALGORITHM, e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "FleetSecret(hidden)";
+    }
+}
--- /dev/null
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -0,0 +1,43 @@
+/*
+ * Messages between entry VMs. Field numbers are never reused; a reader ignores fields that it does not know.
+ * Times are durations in milliseconds: points of one VM's clock mean nothing to another.
+ */
+namespace java org.lycheetray.protocol.generated
+
+/** First message in each direction of a connection, not authenticated by itself. */
+struct Hello {
+  1: i32 protocolVersion
+  2: string vm
+  3: i64 incarnation
+  /** Fresh random bytes from which both ends derive the keys of this connection. */
+  4: binary nonce
+}
+
+/** Asks whether the connection still carries messages. */
+struct Ping {
+}
+
+struct Pong {
+}
+
+/** The peer could not handle a request. */
+struct Failure {
+  1: string step
+  2: string message
+}
+
+union Request {
+  1: Ping ping
+}
+
+union Reply {
+  1: Pong pong
+  2: Failure failure
+}
+
+/** What a frame carries after the greeting: a request or the reply with the same correlation number. */
+struct Envelope {
+  1: i64 correlation
+  2: optional Request request
+  3: optional Reply reply
+}
--- /dev/null
+++ b/lycheetray-protocol/src/test/java/org/lycheetray/protocol/MessageCodecTest.java
@@ -0,0 +1,40 @@
+package org.lycheetray.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.protocol.generated.Envelope;
+import org.lycheetray.protocol.generated.Ping;
+import org.lycheetray.protocol.generated.Request;
+
+class MessageCodecTest {
+    @Test
+    void readsWhatItWrote() {
+        assertThat(MessageCodec.decodeEnvelope(MessageCodec.encode(ping())).get())
+                .isEqualTo(ping());
+    }
+
+    @Test
+    void refusesATruncatedMessage() {
+        byte[] bytes = MessageCodec.encode(ping());
+        byte[] cut = Arrays.copyOf(bytes, bytes.length - 1);
+        assertThat(MessageCodec.decodeEnvelope(cut).getLeft().kind()).isEqualTo(ProtocolError.Kind.MALFORMED);
+    }
+
+    @Property(seed = "42", tries = 500)
+    void neverThrowsOnNoise(@ForAll @Size(max = 200) byte[] noise) {
+        assertThat(MessageCodec.decodeEnvelope(noise)).isNotNull();
+        assertThat(MessageCodec.decodeHello(noise)).isNotNull();
+    }
+
+    private static Envelope ping() {
+        Envelope e = new Envelope();
+        e.setCorrelation(7);
+        e.setRequest(Request.ping(new Ping()));
+        return e;
+    }
+}
