--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** From a request's host and path to its route. */
+package org.lycheetray.core.routing;
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force on this VM. */
+package org.lycheetray.daemon.config;
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the HTTP front. */
+package org.lycheetray.daemon.http.internal;
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/log/LogEvent.java
@@ -0,0 +1,90 @@
+package org.lycheetray.daemon.log;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.tinylog.Logger;
+
+/**
+ * One structured log event, built field by field.
+ *
+ * <p>Values are written as they are; callers never pass keys, secrets or bodies.
+ */
+public final class LogEvent {
+    private static final InstantSource CLOCK = InstantSource.system();
+
+    private final String name;
+    private final StringBuilder fields = new StringBuilder();
+
+    private LogEvent(String name) {
+        this.name = name;
+    }
+
+    /**
+     * Starts an event.
+     *
+     * @param name hyphenated name that operators search for
+     * @return the event
+     */
+    public static LogEvent of(String name) {
+        return new LogEvent(name);
+    }
+
+    /**
+     * Adds a field.
+     *
+     * @param key name of the field
+     * @param value its value, written by {@code toString}
+     * @return this event
+     */
+    public LogEvent with(String key, Object value) {
+        String text = String.valueOf(value);
+        if (Logging.format() == LogFormat.JSON) {
+            fields.append(",\"")
+                    .append(key)
+                    .append("\":\"")
+                    .append(quoted(text))
+                    .append('"');
+        } else {
+            fields.append(' ').append(key).append('=').append(plain(text));
+        }
+        return this;
+    }
+
+    /** Logs at debug level. */
+    public void debug() {
+        Logger.debug(() -> line("debug"));
+    }
+
+    /** Logs at info level. */
+    public void info() {
+        Logger.info(() -> line("info"));
+    }
+
+    /** Logs at warn level. */
+    public void warn() {
+        Logger.warn(() -> line("warn"));
+    }
+
+    /** Logs at error level. */
+    public void error() {
+        Logger.error(() -> line("error"));
+    }
+
+    private String line(String level) {
+        Instant now = CLOCK.instant();
+        if (Logging.format() == LogFormat.JSON) {
+            return "{\"time\":\"" + now + "\",\"level\":\"" + level + "\",\"event\":\"" + name + '"' + fields + '}';
+        }
+        return "time=" + now + " level=" + level + " event=" + name + fields;
+    }
+
+    private static String plain(String text) {
+        boolean simple = !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c != '"' && c != '=');
+        return simple ? text : '"' + quoted(text) + '"';
+    }
+
+    private static String quoted(String text) {
+        return new String(JsonStringEncoder.getInstance().quoteAsString(text));
+    }
+}
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logging on tinylog. */
+package org.lycheetray.daemon.log;
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/AttemptGate.java
@@ -0,0 +1,43 @@
+package org.lycheetray.daemon.request;
+
+import java.util.Optional;
+import org.lycheetray.core.model.BackendServer;
+
+/** Watches attempts and decides what may be tried again. */
+public interface AttemptGate {
+    /**
+     * Checks a request before its first attempt.
+     *
+     * @param request the request
+     * @param digest identity of its content
+     * @return a refusal if requests like this one are quarantined
+     */
+    Optional<Refusal> check(RequestContext request, String digest);
+
+    /**
+     * Takes part of the client account's retry budget.
+     *
+     * @param request the request
+     * @return true if another attempt is within the budget
+     */
+    boolean mayRetry(RequestContext request);
+
+    /**
+     * Notes that an attempt begins.
+     *
+     * @param server the backend server
+     * @param request the request
+     * @param digest identity of its content
+     */
+    void started(BackendServer server, RequestContext request, String digest);
+
+    /**
+     * Notes how an attempt ended.
+     *
+     * @param server the backend server
+     * @param request the request
+     * @param digest identity of its content
+     * @param result how it ended
+     */
+    void ended(BackendServer server, RequestContext request, String digest, AttemptResult result);
+}
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The pipeline's own parts. */
+package org.lycheetray.daemon.request.internal;
