--- a/lycheetray-core/src/main/java/org/lycheetray/core/routing/RouteTable.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/routing/RouteTable.java
@@ -12,9 +12,9 @@
  * <p>A prefix matches whole path segments: {@code /order} matches {@code /order} and {@code /order/1}, not {@code /orders}.
  */
 public final class RouteTable {
-    private static final Comparator<Route> ORDER = Comparator.comparing(
-                    (Route r) -> r.host().equals(Route.ANY_HOST))
-            .thenComparing(r -> -r.pathPrefix().length());
+    private static final Comparator<Route> ORDER = Comparator.comparingInt(
+                    (Route r) -> r.host().equals(Route.ANY_HOST) ? 1 : 0)
+            .thenComparingInt(r -> -r.pathPrefix().length());
 
     private final List<Route> ordered;
 
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Rate and burst of client accounts on this VM. */
+package org.lycheetray.daemon.admission;
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/config/ActiveConfig.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/config/ActiveConfig.java
@@ -44,11 +44,12 @@
         this.vms = manifest.vms().stream().collect(Collectors.toMap(Vm::name, Function.identity()));
     }
 
+    private record KeyEntry(KeyHash hash, ClientAccountName account) {}
+
     private static Map<KeyHash, ClientAccountName> keysOf(Manifest m) {
-        record Entry(KeyHash hash, ClientAccountName account) {}
         return m.clientAccounts().stream()
-                .flatMap((ClientAccount a) -> a.keyHashes().stream().map(h -> new Entry(h, a.name())))
-                .collect(Collectors.toMap(Entry::hash, Entry::account));
+                .flatMap((ClientAccount a) -> a.keyHashes().stream().map(h -> new KeyEntry(h, a.name())))
+                .collect(Collectors.toMap(KeyEntry::hash, KeyEntry::account));
     }
 
     /**
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/metrics/PrometheusText.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/metrics/PrometheusText.java
@@ -26,7 +26,7 @@
      */
     public static String write(MetricRegistry registry) {
         PrometheusText text = new PrometheusText();
-        registry.getCounters().forEach((n, c) -> text.sample(n, "counter", c.getCount()));
+        registry.getCounters().forEach((n, c) -> text.sample(n, "counter", (double) c.getCount()));
         registry.getGauges().forEach((n, g) -> text.sample(n, "gauge", ((Number) g.getValue()).doubleValue()));
         registry.getTimers().forEach(text::timer);
         return text.out.toString();
@@ -45,7 +45,7 @@
         for (double q : QUANTILES) {
             line(name.with("quantile", Double.toString(q)).prometheus(""), s.getValue(q) / NANOS_PER_SECOND);
         }
-        line(name.prometheus("_count"), timer.getCount());
+        line(name.prometheus("_count"), (double) timer.getCount());
     }
 
     private void type(MetricName name, String type) {
