At most once: claims of idempotency keys and truthful outcomes

Cause: a resent order must never run twice, and a refusal that says not-run must be true. Change: ClaimTable claims a key by a conditional row before dispatch, in group commits, settles lost answers by the attempt's id and lets only the holder's process release a claim. Rows of dated keys (UUID version 7) can be deleted after a floor row has closed their bucket; every write of claims checks that row. RequestOutcome and FailurePoint say what is proved. Conclusion: no clock and no delayed write can open a key again.

--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimBatcher.java
@@ -0,0 +1,116 @@
+package org.lycheetray.core.once;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lycheetray.core.table.RowChange;
+import org.lycheetray.core.time.MonotonicTime;
+
+/**
+ * Gathers changes of claims into few conditional writes (group commit).
+ *
+ * <p>Every write also checks the row that holds the lowest open bucket, so that a claim can never be written into a
+ * bucket whose old claims were deleted, whatever the clocks say.
+ */
+final class ClaimBatcher {
+    private final ClaimSettings settings;
+    private final Set<ClaimEntry> queue = new LinkedHashSet<>();
+    private final Map<Long, List<ClaimEntry>> inFlight = new HashMap<>();
+    private long lastNumber;
+    private ClaimFloor floor = ClaimFloor.NONE;
+
+    ClaimBatcher(ClaimSettings settings) {
+        this.settings = settings;
+    }
+
+    ClaimFloor floor() {
+        return floor;
+    }
+
+    void raiseFloor(ClaimFloor f) {
+        if (f.revision() > floor.revision()) {
+            floor = f;
+        }
+    }
+
+    long writes() {
+        return lastNumber;
+    }
+
+    boolean isIdle() {
+        return queue.isEmpty() && inFlight.isEmpty();
+    }
+
+    void enqueue(ClaimEntry e, MonotonicTime now) {
+        enqueueAfter(e, now, now);
+    }
+
+    void enqueueAfter(ClaimEntry e, MonotonicTime now, MonotonicTime notBefore) {
+        e.queuedAt = now;
+        e.notBefore = notBefore;
+        queue.add(e);
+    }
+
+    void remove(ClaimEntry e) {
+        queue.remove(e);
+    }
+
+    Optional<List<ClaimEntry>> answered(long number) {
+        return Optional.ofNullable(inFlight.remove(number));
+    }
+
+    Optional<MonotonicTime> due() {
+        if (inFlight.size() >= settings.maxWritesInFlight()) {
+            return Optional.empty();
+        }
+        return queue.stream().map(this::dueOf).min(Comparator.naturalOrder());
+    }
+
+    List<ClaimEffect> flush(MonotonicTime now) {
+        List<ClaimEffect> effects = new ArrayList<>();
+        while (inFlight.size() < settings.maxWritesInFlight()) {
+            List<ClaimEntry> batch = nextBatch(now);
+            if (batch.isEmpty()) {
+                break;
+            }
+            effects.add(submit(batch));
+        }
+        return effects;
+    }
+
+    private List<ClaimEntry> nextBatch(MonotonicTime now) {
+        List<ClaimEntry> ready =
+                queue.stream().filter(e -> !now.isBefore(e.notBefore)).toList();
+        boolean due = ready.size() >= settings.maxBatch() || ready.stream().anyMatch(e -> !now.isBefore(dueOf(e)));
+        if (!due) {
+            return List.of();
+        }
+        ClaimEntry first = ready.getFirst();
+        if (first.alone) {
+            return List.of(first);
+        }
+        return ready.stream().filter(e -> !e.alone).limit(settings.maxBatch()).toList();
+    }
+
+    private MonotonicTime dueOf(ClaimEntry e) {
+        MonotonicTime lingered = e.queuedAt.plus(settings.linger());
+        return lingered.isBefore(e.notBefore) ? e.notBefore : lingered;
+    }
+
+    private ClaimEffect submit(List<ClaimEntry> batch) {
+        List<RowChange> changes = new ArrayList<>();
+        changes.add(new RowChange.Check(ClaimFloor.ROW, floor.revision()));
+        for (ClaimEntry e : batch) {
+            queue.remove(e);
+            e.submitted = e.content;
+            changes.add(e.change());
+        }
+        inFlight.put(++lastNumber, batch);
+        return new ClaimEffect.Write(lastNumber, changes);
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/HeaderField.java
@@ -0,0 +1,9 @@
+package org.lycheetray.core.once;
+
+/**
+ * One header of a stored answer.
+ *
+ * @param name header name
+ * @param value header value
+ */
+public record HeaderField(String name, String value) {}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/RequestDigest.java
@@ -0,0 +1,48 @@
+package org.lycheetray.core.once;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Digest of what a request asks for, equal for two sendings of the same request.
+ *
+ * @param hex SHA-256 in lower-case hexadecimal
+ */
+public record RequestDigest(String hex) {
+    /**
+     * Digests a request.
+     *
+     * @param method HTTP method
+     * @param host value of the Host header
+     * @param target path and query
+     * @param body whole body
+     * @return the digest
+     */
+    public static RequestDigest of(String method, String host, String target, byte[] body) {
+        MessageDigest digest = sha256();
+        for (String part : new String[] {method, host, target}) {
+            digest.update(part.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+        }
+        return new RequestDigest(HexFormat.of().formatHex(digest.digest(body)));
+    }
+
+    static String hexOf(String text) {
+        return HexFormat.of().formatHex(sha256().digest(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform provides SHA-256", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return hex;
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/SweepEffect.java
@@ -0,0 +1,37 @@
+package org.lycheetray.core.once;
+
+import java.util.List;
+import org.lycheetray.core.table.RowChange;
+
+/** What {@link ClaimSweeper} wants done; one at a time. */
+public sealed interface SweepEffect {
+    /** Read {@link ClaimFloor#ROW}. */
+    record ReadFloor() implements SweepEffect {}
+
+    /**
+     * Raise the floor.
+     *
+     * @param change conditional write
+     */
+    record RaiseFloor(RowChange change) implements SweepEffect {}
+
+    /**
+     * Read the first rows of a prefix, in order of their keys.
+     *
+     * @param prefix start of the keys
+     * @param limit most rows
+     */
+    record Scan(String prefix, int limit) implements SweepEffect {}
+
+    /**
+     * Delete claims of closed buckets.
+     *
+     * @param changes deletions
+     */
+    record Delete(List<RowChange> changes) implements SweepEffect {
+        /** Copies the list. */
+        public Delete {
+            changes = List.copyOf(changes);
+        }
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimTableTest.java
@@ -0,0 +1,151 @@
+package org.lycheetray.core.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.table.Row;
+
+class ClaimTableTest {
+    private static final StoredAnswer ANSWER =
+            new StoredAnswer(201, List.of(), StoredAnswer.Body.Inline.of(new byte[] {1, 2}));
+    private static final AttemptResult ANSWERED = new AttemptResult.Answered(ANSWER);
+    private static final AttemptResult NOT_RUN = new AttemptResult.NotRun();
+
+    private final ClaimDriver a = ClaimDriver.alone();
+    private final ClaimDriver b = new ClaimDriver("vm-2", 1, a.rows);
+
+    @Test
+    void dispatchesOnlyAfterTheClaimIsWritten() {
+        a.claim("r1", "k", "x");
+        assertThat(a.verdicts).isEmpty();
+        assertThat(a.store().verdicts.get("r1")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void repeatsTheStoredAnswerOnAnotherVm() {
+        a.end(a.running("r1", "k"), ANSWERED).store();
+        assertThat(b.claim("r2", "k", "same").store().verdicts).containsEntry("r2", new ClaimVerdict.Repeat(ANSWER));
+        assertThat(a.table.open()).isZero();
+    }
+
+    @Test
+    void joinsTheRunningAttempt() {
+        AttemptId run = a.running("r1", "k");
+        a.claim("r2", "k", "same");
+        assertThat(a.end(run, ANSWERED).verdicts).containsEntry("r2", new ClaimVerdict.Repeat(ANSWER));
+    }
+
+    @Test
+    void refusesOtherContentUnderTheSameKey() {
+        a.running("r1", "k");
+        assertRefused(a.claim("r2", "k", "other"), "r2", FailurePoint.IDEMPOTENCY_KEY_REUSED);
+        assertRefused(b.claim("r3", "k", "other").store(), "r3", FailurePoint.IDEMPOTENCY_KEY_REUSED);
+    }
+
+    @Test
+    void asksTheHolderAndRepeatsItsAnswer() {
+        AttemptId run = a.running("r1", "k");
+        b.claim("r2", "k", "same").store();
+        a.take(a.table.peerAsked(
+                new PeerQuestion(new VmName("vm-2"), b.questions.getFirst().number()), run));
+        a.end(run, ANSWERED);
+        b.take(b.table.peerAnswered(
+                a.answers.getFirst().question().number(), a.answers.getFirst().result(), b.now));
+        assertThat(b.verdicts).containsEntry("r2", new ClaimVerdict.Repeat(ANSWER));
+    }
+
+    @Test
+    void isUnknownWhenTheHolderDoesNotAnswer() {
+        a.running("r1", "k");
+        b.claim("r2", "k", "same").store().after(Duration.ofSeconds(3));
+        assertRefused(b, "r2", FailurePoint.CLAIM_HELD);
+    }
+
+    @Test
+    void isUnknownAfterARestartOfTheHolder() {
+        a.running("r1", "k");
+        ClaimDriver successor = new ClaimDriver("vm-1", 2, a.rows);
+        assertRefused(successor.claim("r2", "k", "same").store(), "r2", FailurePoint.CLAIM_HELD);
+    }
+
+    @Test
+    void anotherVmRunsWhatWasProvablyNotRun() {
+        a.end(a.running("r1", "k"), NOT_RUN).store();
+        assertThat(b.claim("r2", "k", "same").store().verdicts.get("r2")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void settlesALostAnswerByTheAttemptId() {
+        a.claim("r1", "k", "same").loseAnswer(true);
+        assertThat(a.after(Duration.ofMillis(200)).store().verdicts.get("r1")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void aClaimThatTakesEffectAfterItsRefusalDoesNotBlockTheKey() {
+        ClaimEffect.Write late = a.claim("r1", "k", "same").loseAnswer(false);
+        a.after(Duration.ofSeconds(3));
+        assertRefused(a, "r1", FailurePoint.CLAIM_NOT_IN_TIME);
+        a.apply(late);
+        b.claim("r2", "k", "same").store();
+        a.store()
+                .take(a.table.peerAsked(
+                        new PeerQuestion(new VmName("vm-2"), 1),
+                        b.questions.getFirst().attempt()));
+        b.take(b.table.peerAnswered(1, a.answers.getFirst().result(), b.now)).store();
+        assertThat(b.verdicts.get("r2")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void aReleaseStandsBeforeTheClaimThatItFollows() {
+        ClaimEffect.Write late = a.claim("r1", "k", "same").loseAnswer(false);
+        a.after(Duration.ofSeconds(3)).store();
+        a.apply(late);
+        assertThat(b.claim("r2", "k", "same").store().verdicts.get("r2")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void refusesAtOnceWhileTheStoreIsDown() {
+        a.claim("r1", "k1", "x").loseAnswer(false);
+        for (int i = 0; i < 22; i++) {
+            a.now = a.now.plus(Duration.ofMillis(100));
+            a.loseAnswer(false);
+        }
+        assertRefused(a.claim("r2", "k2", "x"), "r2", FailurePoint.CLAIM_STORE_DOWN);
+    }
+
+    @Test
+    void doesNotDispatchAfterAPausePastTheDeadline() {
+        AttemptId run = a.running("r1", "k");
+        assertThat(a.table.mayDispatch(run, a.now)).isTrue();
+        assertThat(a.table.mayDispatch(run, a.now.plus(Duration.ofSeconds(3)))).isFalse();
+    }
+
+    @Test
+    void sharesOneWriteAmongClaims() {
+        a.claim("r1", "k1", "x").claim("r2", "k2", "x").claim("r3", "k3", "x").store();
+        assertThat(a.verdicts).hasSize(3);
+        assertThat(a.table.writes()).isEqualTo(1);
+    }
+
+    @Test
+    void aConflictDoesNotFailItsNeighbours() {
+        a.end(a.running("r1", "k1"), ANSWERED).store();
+        b.claim("r2", "k1", "same").claim("r3", "k2", "same").store();
+        assertThat(b.verdicts).containsEntry("r2", new ClaimVerdict.Repeat(ANSWER));
+        assertThat(b.verdicts.get("r3")).isInstanceOf(ClaimVerdict.Run.class);
+    }
+
+    @Test
+    void refusesAKeyBelowTheFloorWhoeverRaisedIt() {
+        a.rows.put(ClaimFloor.ROW, new Row(ClaimFloor.ROW, 1, "490000"));
+        String old = "01234567-89ab-7000-8000-000000000000";
+        assertRefused(a.claim("r1", old, "x").store(), "r1", FailurePoint.IDEMPOTENCY_KEY_EXPIRED);
+    }
+
+    private static void assertRefused(ClaimDriver d, String request, FailurePoint point) {
+        assertThat(d.verdicts).containsEntry(request, new ClaimVerdict.Refuse(point));
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/RequestOutcomeTest.java
@@ -0,0 +1,59 @@
+package org.lycheetray.core.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.Outcome;
+import org.lycheetray.core.model.RouteClass;
+
+class RequestOutcomeTest {
+    private final RequestOutcome once = new RequestOutcome(RouteClass.ONCE);
+
+    @Test
+    void isNotRunBeforeDispatch() {
+        assertThat(once.refusal(FailurePoint.NO_SLOT).outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    @Test
+    void isUnknownWhileDispatchedWhateverTheFailureClaims() {
+        once.dispatched();
+        assertThat(once.refusal(FailurePoint.CONNECT_REFUSED).outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void anotherServerIsTriedAfterADeclaredShed() {
+        once.dispatched();
+        assertThat(once.failedAfterDispatch(FailurePoint.SHED)).isTrue();
+        once.dispatched();
+        once.answered();
+        assertThat(once.outcome()).isEqualTo(Outcome.ANSWERED);
+    }
+
+    @Test
+    void nothingFollowsALostAnswerOfAOnceRequest() {
+        once.dispatched();
+        assertThat(once.failedAfterDispatch(FailurePoint.CLOSED_BEFORE_ANSWER)).isFalse();
+        assertThat(once.failedBeforeDispatch(FailurePoint.CONNECT_REFUSED)).isFalse();
+        assertThatThrownBy(once::dispatched).isInstanceOf(IllegalStateException.class);
+    }
+
+    @Test
+    void aReadIsRetriedUntilAPartOfTheAnswerHasLeft() {
+        RequestOutcome read = new RequestOutcome(RouteClass.READ);
+        read.dispatched();
+        assertThat(read.failedAfterDispatch(FailurePoint.ANSWER_TRUNCATED)).isTrue();
+        read.dispatched();
+        read.passingOn();
+        assertThat(read.failedAfterDispatch(FailurePoint.ANSWER_TRUNCATED)).isFalse();
+        assertThat(read.refusal(FailurePoint.ANSWER_TRUNCATED).outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void theDocumentHoldsTheTableOfTheCode() throws IOException {
+        assertThat(Files.readString(Path.of("../docs/OUTCOMES.md"))).contains(FailurePoint.markdown());
+    }
+}
