--- a/lycheetray-platform/src/main/java/org/lycheetray/platform/memory/Faults.java
+++ b/lycheetray-platform/src/main/java/org/lycheetray/platform/memory/Faults.java
@@ -73,7 +73,7 @@
      * @param call the call
      * @return the call with faults
      */
-    <T> Mono<T> apply(String step, Mono<T> call) {
+    public <T> Mono<T> apply(String step, Mono<T> call) {
         Mono<T> checked = Mono.defer(() -> down ? Mono.error(outage(step)) : call);
         return Mono.defer(() -> slow.isZero() ? checked : Mono.delay(slow).then(checked));
     }
--- /dev/null
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP helpers that the stand-ins share. */
+package org.lycheetray.standin.http;
