--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/StandinCommandLine.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/StandinCommandLine.java
@@ -12,6 +12,7 @@
     private StandinCommandLine() {}
 
     static CommandLine parse(String program, Options options, String[] args) {
+        System.setProperty("tinylog.level", "warn");
         try {
             return new DefaultParser().parse(options, args);
         } catch (ParseException e) {
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/http/JsonHttp.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/http/JsonHttp.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -10,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.http.server.HttpServerRequest;
@@ -155,6 +157,18 @@
         return method + " " + request.fullPath();
     }
 
+    /**
+     * Finds the connection of a request.
+     *
+     * @param request the request
+     * @return its channel
+     */
+    public static Channel channel(HttpServerRequest request) {
+        AtomicReference<Channel> found = new AtomicReference<>();
+        request.withConnection(c -> found.set(c.channel()));
+        return found.get();
+    }
+
     /**
      * A problem in JSON.
      *
