Status page: one JSON section per subsystem, read on the control thread

Cause: operators need to see plan, leases and shares of a running VM. Change: GET /statusz with a registry of sections; the process section first. Conclusion: each subsystem adds its section as it is wired in.

--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.lycheetray.daemon;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -26,6 +27,7 @@
 import org.lycheetray.daemon.running.PassiveAttempts;
 import org.lycheetray.daemon.running.TableClaims;
 import org.lycheetray.daemon.settings.Settings;
+import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
 import org.lycheetray.daemon.steering.LocalSlots;
 import org.lycheetray.platform.PlatformClient;
@@ -62,6 +64,8 @@
                 new LocalSlots(control, settings.dataCentre()),
                 new PassiveAttempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
+        StatusReport status = new StatusReport(control);
+        status.section("process", node -> describe(self, settings, node));
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -70,7 +74,8 @@
                 new DeclaredVms(config, settings.dataCentre()),
                 pipeline,
                 metrics::finished,
-                metrics);
+                metrics,
+                status);
         metrics.gauge("lycheetray_requests_in_progress", lifecycle::inProgress);
         metrics.gauge("lycheetray_refused_peer_connections_total", peers::refusedConnections);
         peers.listen(settings.peers());
@@ -138,6 +143,15 @@
         stopped.countDown();
     }
 
+    private void describe(Incarnation self, Settings settings, ObjectNode node) {
+        node.put("vm", self.vm().value());
+        node.put("incarnation", self.number());
+        node.put("dataCentre", settings.dataCentre().value());
+        node.put("phase", lifecycle.phase().name());
+        node.put("inProgress", lifecycle.inProgress());
+        node.put("configVersion", config.active().map(c -> c.version().number()).orElse(0L));
+    }
+
     private void checkReady() {
         if (config.active().isPresent()) {
             lifecycle.advance(Phase.SERVING);
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
@@ -58,6 +58,7 @@
             case "/healthz" -> pages.health(res);
             case "/readyz" -> pages.ready(res);
             case "/metrics" -> pages.metrics(res);
+            case "/statusz" -> pages.status(res);
             case "/v1/entry-vms" -> pages.lookup(req, res, query < 0 ? "" : uri.substring(query + 1));
             default -> requests.handle(req, res, path);
         };
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFrontParts.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFrontParts.java
@@ -7,6 +7,7 @@
 import org.lycheetray.daemon.metrics.FleetMetrics;
 import org.lycheetray.daemon.request.RequestObserver;
 import org.lycheetray.daemon.request.RequestPipeline;
+import org.lycheetray.daemon.status.StatusReport;
 
 /**
  * What the HTTP front needs of the daemon.
@@ -19,6 +20,7 @@
  * @param pipeline runs requests
  * @param observer learns of finished requests
  * @param metrics metrics that the operators' page shows
+ * @param status state that the operators' page shows
  */
 public record HttpFrontParts(
         Incarnation self,
@@ -28,4 +30,5 @@
         LookupGate lookups,
         RequestPipeline pipeline,
         RequestObserver observer,
-        FleetMetrics metrics) {}
+        FleetMetrics metrics,
+        StatusReport status) {}
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/OperatorPages.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/OperatorPages.java
@@ -85,6 +85,16 @@
         return text(res, OK, "text/plain; version=0.0.4; charset=utf-8", page);
     }
 
+    /**
+     * Writes the state of all subsystems.
+     *
+     * @param res where to write
+     * @return completes when written
+     */
+    public Mono<Void> status(HttpServerResponse res) {
+        return parts.status().write().flatMap(body -> text(res, OK, JSON_TYPE, body + "\n"));
+    }
+
     /**
      * Answers which entry VMs to use.
      *
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/status/package-info.java
@@ -0,0 +1,2 @@
+/** What an operator may ask a running VM. */
+package org.lycheetray.daemon.status;
