Command-line tool: validate, submit, status, drain status, key hash

Cause: operators drive the system by submitting manifests only. Change: lycheetray with one class per command and documented exit codes; ConfigClient in lycheetray-platform performs a submission's effects. Conclusion: a conflict names the winner, a lost answer has its own exit code.

--- /dev/null
+++ b/lycheetray-cli/src/main/java/org/lycheetray/cli/Lycheetray.java
@@ -0,0 +1,28 @@
+package org.lycheetray.cli;
+
+import java.util.List;
+import org.lycheetray.cli.internal.CommandContext;
+import org.lycheetray.cli.internal.Commands;
+
+/** Entry point of the command-line tool. */
+public final class Lycheetray {
+    private Lycheetray() {}
+
+    /**
+     * Runs one command and exits with its code.
+     *
+     * @param args the command and its arguments
+     */
+    public static void main(String[] args) {
+        System.exit(run(CommandContext.ofProcess(), List.of(args)).code());
+    }
+
+    static ExitCode run(CommandContext context, List<String> args) {
+        System.setProperty("tinylog.level", "warn");
+        System.setProperty("tinylog.writer", "console");
+        System.setProperty("tinylog.writer.stream", "err");
+        ExitCode code = Commands.run(context, args);
+        context.out().flush();
+        return code;
+    }
+}
--- /dev/null
+++ b/lycheetray-cli/src/main/java/org/lycheetray/cli/package-info.java
@@ -0,0 +1,2 @@
+/** {@code lycheetray}, the operators' command-line tool. */
+package org.lycheetray.cli;
--- a/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigRef.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigRef.java
@@ -15,10 +15,10 @@
     /**
      * Gives the name of the object that holds the manifest.
      *
-     * @return {@code config/VERSION-DIGEST}, sorted by version
+     * @return {@code config/VERSION-DIGEST}
      */
     public String objectName() {
-        return "config/" + padded(version) + "-" + digest;
+        return "config/" + this;
     }
 
     static String padded(ConfigVersion version) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/manifest/internal/ServiceSection.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/manifest/internal/ServiceSection.java
@@ -28,7 +28,8 @@
     private static final int MAX_PERMILLE = 1_000;
     private static final int MAX_PREFIX_LENGTH = 1_024;
     private static final Pattern HOST = Pattern.compile("[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?");
-    private static final List<String> OWN_PATHS = List.of("/v1/entry-vms", "/healthz", "/readyz", "/metrics");
+    private static final List<String> OWN_PATHS =
+            List.of("/v1/entry-vms", "/healthz", "/readyz", "/statusz", "/metrics");
 
     private final ManifestDraft draft;
     private final NameRegister names;
--- /dev/null
+++ b/lycheetray-platform/src/main/java/org/lycheetray/platform/config/package-info.java
@@ -0,0 +1,2 @@
+/** Submits configurations to the platform and reads what is in force. */
+package org.lycheetray.platform.config;
