--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/lookup/ClientBlockTable.java
@@ -0,0 +1,123 @@
+package org.lycheetray.core.lookup;
+
+import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.lycheetray.core.lookup.internal.Entry;
+import org.lycheetray.core.lookup.internal.PrefixTable;
+import org.lycheetray.core.model.ClientBlock;
+import org.lycheetray.core.model.RegionName;
+
+/**
+ * Client address blocks and the region nearest to each, in packed arrays.
+ *
+ * <p>The longest block that contains an address counts. One thread changes the table; any thread reads it without a
+ * lock, also during a change. IPv6 blocks are at most 64 bits long, as no network is smaller.
+ */
+public final class ClientBlockTable {
+    private final PrefixTable ipv4 = new PrefixTable();
+    private final PrefixTable ipv6 = new PrefixTable();
+    private final CopyOnWriteArrayList<RegionName> sites = new CopyOnWriteArrayList<>();
+    private final Map<RegionName, Short> numbers = new HashMap<>();
+
+    /**
+     * Replaces the whole content.
+     *
+     * @param blocks the blocks; of equal ones the last counts
+     * @throws IllegalArgumentException if a block is malformed; the content is then unchanged
+     */
+    public void load(Collection<ClientBlock> blocks) {
+        List<Entry> v4 = new ArrayList<>();
+        List<Entry> v6 = new ArrayList<>();
+        for (ClientBlock b : blocks) {
+            Prefix p = Prefix.parse(b.cidr());
+            (p.ipv6() ? v6 : v4).add(new Entry(p.bits(), p.length(), number(b.region())));
+        }
+        ipv4.load(v4);
+        ipv6.load(v6);
+    }
+
+    /**
+     * Adds a block or changes its region.
+     *
+     * @param block the block
+     */
+    public void put(ClientBlock block) {
+        Prefix p = Prefix.parse(block.cidr());
+        apply(p, number(block.region()));
+    }
+
+    /**
+     * Adds a block or changes its region.
+     *
+     * @param prefix the block
+     * @param region its region
+     */
+    public void put(Prefix prefix, RegionName region) {
+        apply(prefix, number(region));
+    }
+
+    /**
+     * Removes a block; one that is not there is ignored.
+     *
+     * @param prefix the block
+     */
+    public void remove(Prefix prefix) {
+        apply(prefix, PrefixTable.NO_SITE);
+    }
+
+    private void apply(Prefix p, short site) {
+        (p.ipv6() ? ipv6 : ipv4).apply(new Entry(p.bits(), p.length(), site));
+    }
+
+    private short number(RegionName region) {
+        Short known = numbers.get(region);
+        if (known != null) {
+            return known;
+        }
+        if (sites.size() >= Short.MAX_VALUE) {
+            throw new IllegalArgumentException("more than " + Short.MAX_VALUE + " regions");
+        }
+        short next = (short) sites.size();
+        sites.add(region);
+        numbers.put(region, next);
+        return next;
+    }
+
+    /**
+     * Finds the region nearest to a client.
+     *
+     * @param client the client's address
+     * @return the region, empty if no block contains the address
+     */
+    public Optional<RegionName> find(InetAddress client) {
+        Prefix p = Prefix.ofAddress(client);
+        return find(p.bits(), p.ipv6());
+    }
+
+    /**
+     * Finds the region nearest to a client.
+     *
+     * @param bits first 64 bits of the address, an IPv4 address in the upper 32
+     * @param ipv6 true for IPv6
+     * @return the region, empty if no block contains the address
+     */
+    public Optional<RegionName> find(long bits, boolean ipv6) {
+        short site = (ipv6 ? this.ipv6 : ipv4).find(bits);
+        return site == PrefixTable.NO_SITE ? Optional.empty() : Optional.of(sites.get(site));
+    }
+
+    /**
+     * Gives the number of blocks.
+     *
+     * @return the number
+     */
+    public int size() {
+        return ipv4.size() + ipv6.size();
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/lookup/internal/PrefixTable.java
@@ -0,0 +1,187 @@
+package org.lycheetray.core.lookup.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeMap;
+import org.lycheetray.core.lookup.Prefix;
+
+/**
+ * Sorted prefixes of one address family with longest match.
+ *
+ * <p>Packed into chunks that are replaced, never changed: readers on any thread see the table before or after a delta,
+ * and a delta costs the chunks that it touches. One thread writes.
+ */
+public final class PrefixTable {
+    /** Site that stands for no match. */
+    public static final short NO_SITE = -1;
+
+    private static final int CHUNK_SIZE = 512;
+    private static final int MAX_LENGTH = 64;
+
+    private volatile Chunk[] chunks = new Chunk[0];
+
+    /**
+     * Replaces the whole content.
+     *
+     * @param entries entries in any order; of equal prefixes the last one counts
+     */
+    public void load(Collection<Entry> entries) {
+        TreeMap<Entry, Entry> sorted = new TreeMap<>();
+        entries.forEach(e -> sorted.put(e, e));
+        chunks = pack(new ArrayList<>(sorted.values()), new ArrayDeque<>()).toArray(Chunk[]::new);
+    }
+
+    /**
+     * Replaces the whole content from entries that are sorted already.
+     *
+     * @param sorted entries in order, without equal prefixes
+     */
+    public void loadSorted(List<Entry> sorted) {
+        chunks = pack(sorted, new ArrayDeque<>()).toArray(Chunk[]::new);
+    }
+
+    /**
+     * Finds the site of the longest prefix that contains an address.
+     *
+     * @param address first 64 bits of the address
+     * @return the site, {@link #NO_SITE} if no prefix contains it
+     */
+    public short find(long address) {
+        Chunk[] all = chunks;
+        long key = address;
+        int length = MAX_LENGTH;
+        while (true) {
+            int c = chunkOf(all, key, length);
+            if (c < 0) {
+                return NO_SITE;
+            }
+            int i = all[c].floor(key, length);
+            if (all[c].contains(i, address)) {
+                return all[c].site(i);
+            }
+            length = all[c].enclosing(i);
+            if (length == Chunk.NONE) {
+                return NO_SITE;
+            }
+            key = all[c].entry(i).bits() & Prefix.mask(length);
+        }
+    }
+
+    private static int chunkOf(Chunk[] all, long key, int length) {
+        int low = 0;
+        int high = all.length - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            int order = Long.compareUnsigned(all[middle].firstBits(), key);
+            if (order < 0 || (order == 0 && all[middle].firstLength() <= length)) {
+                low = middle + 1;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return high;
+    }
+
+    /**
+     * Adds, replaces or removes one prefix.
+     *
+     * @param entry the prefix; site {@link #NO_SITE} removes it
+     */
+    public void apply(Entry entry) {
+        Chunk[] old = chunks;
+        int first = Math.max(0, chunkOf(old, entry.bits(), entry.length()));
+        int last = Math.max(first, chunkOf(old, entry.bits() | ~Prefix.mask(entry.length()), MAX_LENGTH));
+        List<Entry> entries = new ArrayList<>();
+        for (int c = first; c <= last && c < old.length; c++) {
+            for (int i = 0; i < old[c].size(); i++) {
+                entries.add(old[c].entry(i));
+            }
+        }
+        edit(entries, entry);
+        ArrayDeque<Entry> outer = old.length == 0 ? new ArrayDeque<>() : enclosingOf(old, first);
+        List<Chunk> fresh = pack(entries, outer);
+        chunks = splice(old, first, last, fresh);
+    }
+
+    private static void edit(List<Entry> entries, Entry e) {
+        int at = 0;
+        while (at < entries.size() && entries.get(at).compareTo(e) < 0) {
+            at++;
+        }
+        if (at < entries.size() && entries.get(at).samePrefix(e)) {
+            entries.remove(at);
+        }
+        if (e.site() != NO_SITE) {
+            entries.add(at, e);
+        }
+    }
+
+    /** The prefixes outside a chunk that enclose its first one, the outermost first. */
+    private static ArrayDeque<Entry> enclosingOf(Chunk[] all, int chunk) {
+        ArrayDeque<Entry> outer = new ArrayDeque<>();
+        Entry at = all[chunk].entry(0);
+        byte length = all[chunk].enclosing(0);
+        while (length != Chunk.NONE) {
+            long key = at.bits() & Prefix.mask(length);
+            Chunk c = all[chunkOf(all, key, length)];
+            int i = c.floor(key, length);
+            at = c.entry(i);
+            outer.addFirst(at);
+            length = c.enclosing(i);
+        }
+        return outer;
+    }
+
+    private static Chunk[] splice(Chunk[] old, int first, int last, List<Chunk> fresh) {
+        List<Chunk> next = new ArrayList<>(old.length + fresh.size());
+        next.addAll(Arrays.asList(old).subList(0, Math.min(first, old.length)));
+        next.addAll(fresh);
+        next.addAll(Arrays.asList(old).subList(Math.min(last + 1, old.length), old.length));
+        return next.toArray(Chunk[]::new);
+    }
+
+    private static List<Chunk> pack(List<Entry> sorted, ArrayDeque<Entry> outer) {
+        int count = Math.ceilDiv(sorted.size(), CHUNK_SIZE);
+        List<Chunk> packed = new ArrayList<>(count);
+        for (int c = 0; c < count; c++) {
+            int from = (int) ((long) sorted.size() * c / count);
+            int to = (int) ((long) sorted.size() * (c + 1) / count);
+            packed.add(packOne(sorted.subList(from, to), outer));
+        }
+        return packed;
+    }
+
+    private static Chunk packOne(List<Entry> entries, ArrayDeque<Entry> outer) {
+        byte[] enclosing = new byte[entries.size()];
+        for (int i = 0; i < entries.size(); i++) {
+            Entry e = entries.get(i);
+            while (!outer.isEmpty() && !encloses(outer.peekLast(), e)) {
+                outer.removeLast();
+            }
+            enclosing[i] =
+                    outer.isEmpty() ? Chunk.NONE : (byte) outer.peekLast().length();
+            outer.addLast(e);
+        }
+        return new Chunk(entries, enclosing);
+    }
+
+    private static boolean encloses(Entry outer, Entry inner) {
+        return outer.length() < inner.length() && (inner.bits() & Prefix.mask(outer.length())) == outer.bits();
+    }
+
+    /**
+     * Gives the number of prefixes.
+     *
+     * @return the number
+     */
+    public int size() {
+        int n = 0;
+        for (Chunk c : chunks) {
+            n += c.size();
+        }
+        return n;
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/slots/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the slot owner. */
+package org.lycheetray.core.slots.internal;
--- a/lycheetray-core/src/test/java/org/lycheetray/core/membership/LeadLeaseTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/membership/LeadLeaseTest.java
@@ -126,13 +126,17 @@
 
     @Property(seed = "605", tries = 200)
     void neverTwoHolders(@ForAll Random random) {
+        table.row = Optional.empty();
+        LeadLease first = lease(a);
+        LeadLease second = lease(b);
+        now = MonotonicTime.ZERO;
         for (int i = 0; i < 400; i++) {
             now = now.plus(Duration.ofMillis(random.nextInt(1500)));
             table.down = random.nextInt(4) == 0;
             table.loseAnswers = random.nextInt(4) == 0;
-            LeadLease one = random.nextBoolean() ? leaseA : leaseB;
-            step(one, Optional.of(one == leaseA ? a : b));
-            assertThat(leaseA.isLead(now) && leaseB.isLead(now)).isFalse();
+            LeadLease one = random.nextBoolean() ? first : second;
+            step(one, Optional.of(one == first ? a : b));
+            assertThat(first.isLead(now) && second.isLead(now)).isFalse();
         }
     }
 }
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/slots/SlotOwnerTest.java
@@ -0,0 +1,185 @@
+package org.lycheetray.core.slots;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.health.ServerState;
+import org.lycheetray.core.health.UsableServer;
+import org.lycheetray.core.model.BackendServer;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+
+class SlotOwnerTest {
+    private static final Incarnation HOLDER = new Incarnation(new VmName("h"), 1);
+    private static final OwnerGeneration FIRST = new OwnerGeneration(1, new Incarnation(new VmName("o"), 1));
+    private static final OwnerGeneration SECOND = new OwnerGeneration(2, new Incarnation(new VmName("p"), 2));
+    private static final Duration LONG = Duration.ofSeconds(10);
+    private static final MonotonicTime T0 = MonotonicTime.ZERO;
+
+    private final SlotOwner owner = owner(FIRST, Set.of(), 2);
+    private long asks;
+
+    static UsableServer server(int number, int slots) {
+        BackendServer s = new BackendServer(
+                new BackendServerName("s" + number),
+                new ServiceName("catalogue"),
+                new DataCentreName("d"),
+                new Endpoint("127.0.0.1", 1 + number),
+                3,
+                330);
+        return new UsableServer(s, slots, ServerState.IN_USE);
+    }
+
+    private static SlotOwner owner(OwnerGeneration g, Set<VmName> holders, int servers) {
+        SlotOwner o = SlotOwner.create(g, SlotOwnerSettings.ofQueueLimit(20), holders, LONG, T0);
+        o.use(IntStream.range(0, servers).mapToObj(i -> server(i, 3)).toList(), T0);
+        return o;
+    }
+
+    private SlotAsk ask(String account, AskMode mode) {
+        return new SlotAsk(new AskId(HOLDER, asks++), new ClientAccountName(account), 1, LONG, mode, Set.of());
+    }
+
+    private List<SlotEffect> fill(int count) {
+        List<SlotEffect> effects = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            effects.addAll(owner.ask(ask("a", AskMode.IF_IDLE), T0));
+        }
+        return effects;
+    }
+
+    @Test
+    void grantsEachSlotOnceAndSpreadsThemOverServers() {
+        List<SlotEffect> effects = fill(7);
+        assertThat(effects).filteredOn(SlotEffect.Granted.class::isInstance).hasSize(6);
+        assertThat(effects.getLast()).isInstanceOf(SlotEffect.Refused.class);
+        assertThat(owner.inFlight(new BackendServerName("s0"))).isEqualTo(3);
+    }
+
+    @Test
+    void repeatedAskGetsNoSecondSlot() {
+        SlotAsk a = ask("a", AskMode.IF_IDLE);
+        owner.ask(a, T0);
+        assertThat(owner.ask(a, T0)).isEmpty();
+        assertThat(owner.load().inFlight()).isEqualTo(1);
+    }
+
+    @Test
+    void releasedSlotGoesToTheNextAccount() {
+        fill(6);
+        for (int i = 0; i < 5; i++) {
+            owner.ask(ask("greedy", AskMode.QUEUE), T0);
+        }
+        SlotAsk modest = ask("modest", AskMode.QUEUE);
+        owner.ask(modest, T0);
+        owner.release(new AskId(HOLDER, 0), T0.plus(Duration.ofMillis(30)));
+        List<SlotEffect> second = owner.release(new AskId(HOLDER, 1), T0.plus(Duration.ofMillis(30)));
+        assertThat(second).extracting(SlotEffect::id).containsExactly(modest.id());
+    }
+
+    @Test
+    void deadHoldersSlotsReturnOnceTheServerHasStopped() {
+        fill(6);
+        owner.holderDied(HOLDER, T0);
+        assertThat(owner.load().idle()).isZero();
+        owner.tick(T0.plus(SlotOwnerSettings.CANCEL_TIME));
+        assertThat(owner.load().idle()).isEqualTo(6);
+    }
+
+    @Test
+    void otherRegionsLeaveTheReserveAlone() {
+        SlotOwner large = owner(FIRST, Set.of(), 4);
+        for (int i = 0; i < 11; i++) {
+            large.ask(ask("a", AskMode.FROM_OTHER_REGION), T0);
+        }
+        assertThat(large.ask(ask("a", AskMode.FROM_OTHER_REGION), T0).getFirst())
+                .isInstanceOf(SlotEffect.Refused.class);
+        assertThat(large.ask(ask("a", AskMode.IF_IDLE), T0).getFirst()).isInstanceOf(SlotEffect.Granted.class);
+    }
+
+    @Test
+    void hopelessAskIsRefusedAtOnce() {
+        fill(6);
+        for (int i = 0; i < 6; i++) {
+            owner.release(new AskId(HOLDER, i), T0.plus(Duration.ofSeconds(9)));
+        }
+        fill(6);
+        for (int i = 0; i < 8; i++) {
+            owner.ask(ask("a", AskMode.QUEUE), T0);
+        }
+        SlotAsk late = ask("a", AskMode.QUEUE);
+        assertThat(owner.ask(late, T0))
+                .containsExactly(new SlotEffect.Refused(late.id(), SlotRefusal.DEADLINE, owner.load()));
+    }
+
+    @Test
+    void newOwnerCountsWhatItsPredecessorGranted() {
+        HeldGrants held = new HeldGrants();
+        fill(6).forEach(e -> held.accept((SlotEffect.Granted) e, T0, T0));
+        SlotOwner next = owner(SECOND, Set.of(HOLDER.vm()), 2);
+        assertThat(next.ask(ask("a", AskMode.QUEUE), T0)).isEmpty();
+        List<SlotEffect> answers =
+                next.reported(HOLDER.vm(), held.report(SECOND, T0).orElseThrow(), T0);
+        assertThat(answers).isEmpty();
+        assertThat(next.load().inFlight()).isEqualTo(6);
+    }
+
+    @Test
+    void grantOfAPausedPredecessorIsNotUsed() {
+        HeldGrants held = new HeldGrants();
+        held.report(SECOND, T0);
+        SlotEffect.Granted late = (SlotEffect.Granted) fill(1).getFirst();
+        assertThat(held.accept(late, T0, T0)).isFalse();
+    }
+
+    @Test
+    void silentHolderIsWaitedForNoLongerThanItsGrants() {
+        SlotOwner next = owner(SECOND, Set.of(HOLDER.vm()), 2);
+        next.ask(ask("a", AskMode.QUEUE), T0.plus(Duration.ofSeconds(9)));
+        assertThat(next.tick(T0.plus(Duration.ofSeconds(11)))).hasSize(1);
+    }
+
+    @Property(seed = "606", tries = 200)
+    void noServerEverRunsMoreThanItsSlots(@ForAll Random random) {
+        SlotOwner fresh = owner(FIRST, Set.of(), 2);
+        asks = 0;
+        Map<AskId, BackendServerName> running = new HashMap<>();
+        MonotonicTime now = T0;
+        for (int i = 0; i < 300; i++) {
+            now = now.plus(Duration.ofMillis(random.nextInt(20)));
+            AskId some = new AskId(HOLDER, random.nextLong(asks + 1));
+            List<SlotEffect> effects = switch (random.nextInt(4)) {
+                case 0, 1 -> fresh.ask(ask("a" + random.nextInt(3), AskMode.QUEUE), now);
+                case 2 -> {
+                    running.remove(some);
+                    yield fresh.release(some, now);
+                }
+                default -> fresh.use(List.of(server(0, 1 + random.nextInt(3)), server(1, 3)), now);
+            };
+            for (SlotEffect e : effects) {
+                if (e instanceof SlotEffect.Granted g) {
+                    assertThat(running.put(g.id(), g.server().name())).isNull();
+                }
+            }
+            Map<BackendServerName, Integer> counts = new HashMap<>();
+            running.values().forEach(s -> counts.merge(s, 1, Integer::sum));
+            counts.forEach((s, n) -> assertThat(n).isLessThanOrEqualTo(3).isEqualTo(fresh.inFlight(s)));
+        }
+    }
+}
