--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/ledger/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The segments' form in JSON. */
+package org.lycheetray.core.ledger.internal;
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/ledger/LedgerPropertyTest.java
@@ -0,0 +1,167 @@
+package org.lycheetray.core.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.Outcome;
+import org.lycheetray.core.time.MonotonicTime;
+
+/** Compares the ledger with a plain sum over the same requests, under store failures, lost segments and crashes. */
+class LedgerPropertyTest {
+    private static final LedgerLimits LIMITS = new LedgerLimits(4, Duration.ofMillis(50), 12, Duration.ofMillis(30));
+    private static final Instant FAR = LedgerLines.START.plus(Duration.ofDays(2));
+    private static final List<Outcome> OUTCOMES = List.of(Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN);
+    private static final String[] ACCOUNTS = {"", "members", "web-shop"};
+
+    private final List<LedgerSegment> store = new ArrayList<>();
+    private final Map<String, Long> naive = new TreeMap<>();
+    private LedgerEffect.Store inFlight;
+    private MonotonicTime now = MonotonicTime.ZERO;
+    private int requests;
+
+    @Property(seed = "20261204", tries = 300)
+    void plannedStopLeavesTotalsThatEqualThePlainSum(@ForAll Random random, @ForAll @IntRange(max = 200) int steps) {
+        reset();
+        LedgerWriter writer = run(random, steps);
+        stop(writer);
+
+        LedgerReport report = report(store);
+
+        assertThat(totals(report)).isEqualTo(naive);
+        assertThat(report.gaps(LedgerLines.START)).isEmpty();
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    void totalsAndGapsTogetherEqualThePlainSumWhenSegmentsAreLost(
+            @ForAll Random random, @ForAll @IntRange(max = 200) int steps) {
+        reset();
+        stop(run(random, steps));
+        List<LedgerSegment> left =
+                store.stream().filter(s -> s.last() || random.nextBoolean()).toList();
+
+        LedgerReport report = report(left);
+
+        long shown = totals(report).values().stream().mapToLong(Long::longValue).sum();
+        long missing = report.gaps(LedgerLines.START).stream()
+                .mapToLong(g -> g.requests().orElseThrow())
+                .sum();
+        assertThat(shown + missing).isEqualTo(requests);
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    void crashLosesOnlyTheEndAndTheEndIsShown(@ForAll Random random, @ForAll @IntRange(max = 200) int steps) {
+        reset();
+        run(random, steps);
+
+        LedgerReport report = report(store);
+
+        assertThat(report.gaps(LedgerLines.START)).allMatch(g -> g.kind() == LedgerGap.Kind.OPEN);
+        assertThat(totals(report).values().stream().mapToLong(Long::longValue).sum())
+                .isLessThanOrEqualTo(requests);
+    }
+
+    private void reset() {
+        store.clear();
+        naive.clear();
+        inFlight = null;
+        now = MonotonicTime.ZERO;
+        requests = 0;
+    }
+
+    private LedgerWriter run(Random random, int steps) {
+        LedgerWriter writer = new LedgerWriter(LedgerLines.SELF, LIMITS);
+        perform(writer.start(now, wall()));
+        for (int i = 0; i < steps; i++) {
+            step(writer, random);
+            assertThat(writer.heldLines()).isLessThanOrEqualTo(LIMITS.heldLines());
+        }
+        return writer;
+    }
+
+    private void step(LedgerWriter writer, Random random) {
+        now = now.plus(Duration.ofMillis(random.nextInt(20)));
+        switch (random.nextInt(6)) {
+            case 0 -> perform(writer.tick(now, wall()));
+            case 1 -> endStore(writer, random.nextInt(4) > 0, random.nextBoolean());
+            default -> perform(writer.record(next(random), now, wall()));
+        }
+    }
+
+    private LedgerLine next(Random random) {
+        String account = ACCOUNTS[random.nextInt(ACCOUNTS.length)];
+        Outcome outcome = OUTCOMES.get(random.nextInt(OUTCOMES.size()));
+        naive.merge(account + "/" + outcome, 1L, Long::sum);
+        return LedgerLines.line(requests++, account, outcome, wall());
+    }
+
+    /** Ends the store in flight; a failure may hide that the object was stored. */
+    private void endStore(LedgerWriter writer, boolean success, boolean storedAnyway) {
+        if (inFlight == null) {
+            return;
+        }
+        LedgerSegment segment =
+                LedgerCodec.decode(LedgerCodec.encode(inFlight.segment())).get();
+        inFlight = null;
+        if ((success || storedAnyway) && !store.contains(segment)) {
+            store.add(segment);
+        }
+        if (success) {
+            perform(writer.stored(now, wall()));
+        } else {
+            writer.failed(now);
+        }
+    }
+
+    private void stop(LedgerWriter writer) {
+        perform(writer.finish(now, wall()));
+        while (!writer.isFlushed()) {
+            now = now.plus(LIMITS.retryPause());
+            perform(writer.tick(now, wall()));
+            endStore(writer, true, true);
+        }
+    }
+
+    private void perform(List<LedgerEffect> effects) {
+        for (LedgerEffect e : effects) {
+            assertThat(inFlight).as("one store at a time").isNull();
+            inFlight = (LedgerEffect.Store) e;
+        }
+    }
+
+    private Instant wall() {
+        return LedgerLines.START.plusNanos(now.nanos());
+    }
+
+    private static LedgerReport report(List<LedgerSegment> segments) {
+        LedgerReport report = new LedgerReport(LedgerLines.START, FAR, LedgerPeriod.ALL);
+        segments.forEach(report::add);
+        return report;
+    }
+
+    private static Map<String, Long> totals(LedgerReport report) {
+        Map<String, Long> sums = new TreeMap<>();
+        for (LedgerTotal t : report.totals()) {
+            String account = t.account().map(ClientAccountName::value).orElse("");
+            put(sums, account + "/" + Outcome.ANSWERED, t.answered());
+            put(sums, account + "/" + Outcome.NOT_RUN, t.notRun());
+            put(sums, account + "/" + Outcome.UNKNOWN, t.unknown());
+        }
+        return sums;
+    }
+
+    private static void put(Map<String, Long> sums, String key, long value) {
+        if (value > 0) {
+            sums.put(key, value);
+        }
+    }
+}
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoChecks.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoChecks.java
@@ -75,6 +75,7 @@
      * @return true if everything is as it should be
      */
     public boolean run() {
+        report.header();
         ClientAccount large = plan.largeAccount();
         String key = plan.key(large);
         answered(DemoRequest.open("open", plan.vm(0), plan.openPath() + "/today"), "");
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoReport.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoReport.java
@@ -13,10 +13,10 @@
 
     DemoReport(PrintStream out) {
         this.out = out;
-        header();
     }
 
-    private void header() {
+    /** Prints the head of the table. */
+    void header() {
         out.printf(ROW, "request", "entry VM", "status", "outcome", "reason", "backend server", "ms", "check");
     }
 
