--- a/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigEvent.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigEvent.java
@@ -21,6 +21,13 @@
      */
     record PeerAnswered(PeerView view, MonotonicTime sentAt) implements ConfigEvent {}
 
+    /**
+     * A peer told its state unasked; that says what to fetch but proves nothing about the present.
+     *
+     * @param view what it said
+     */
+    record PeerHinted(PeerView view) implements ConfigEvent {}
+
     /**
      * A manifest arrived, from the store or from a peer, and its digest was checked.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigKeeper.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/config/ConfigKeeper.java
@@ -64,6 +64,7 @@
         switch (event) {
             case ConfigEvent.HeadRead e -> onHead(e, effects);
             case ConfigEvent.PeerAnswered e -> onPeer(e, now, effects);
+            case ConfigEvent.PeerHinted e -> onHint(e.view(), effects);
             case ConfigEvent.ManifestLoaded e -> onManifest(e, effects);
             case ConfigEvent.ManifestFailed e -> onFailure(e);
             case ConfigEvent.Registered e -> registeredAt = registeredAt.or(() -> Optional.of(e.confirmedAt()));
@@ -149,13 +150,17 @@
     private void onPeer(ConfigEvent.PeerAnswered e, MonotonicTime now, List<ConfigEffect> effects) {
         PeerView v = e.view();
         votes.add(v, e.sentAt());
-        want(v.accepted(), v.pending(), Optional.of(v.incarnation().vm()), effects);
+        onHint(v, effects);
         v.confirmation()
                 .map(c -> new Evidence(c.bound(), e.sentAt().plus(c.age().negated())))
                 .ifPresent(evidence -> freshness.add(evidence, this::covers));
         countVotes(now);
     }
 
+    private void onHint(PeerView v, List<ConfigEffect> effects) {
+        want(v.accepted(), v.pending(), Optional.of(v.incarnation().vm()), effects);
+    }
+
     private void onManifest(ConfigEvent.ManifestLoaded e, List<ConfigEffect> effects) {
         fetching = fetching.filter(r -> !r.equals(e.ref()));
         LoadedConfig loaded = new LoadedConfig(e.ref(), e.manifest());
@@ -266,7 +271,7 @@
     }
 
     private int fingerprint() {
-        return accepted.map(a -> dataCentres(a).hashCode()).orElse(0);
+        return accepted.map(a -> MajorityUtil.fingerprint(dataCentres(a))).orElse(0);
     }
 
     private static Set<DataCentreName> dataCentres(LoadedConfig loaded) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/config/internal/MajorityUtil.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/config/internal/MajorityUtil.java
@@ -26,6 +26,16 @@
         return manifest.vms().stream().map(Vm::dataCentre).collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Condenses a set of data centres, alike in all processes.
+     *
+     * @param dataCentres the set
+     * @return equal for equal sets
+     */
+    public static int fingerprint(Set<DataCentreName> dataCentres) {
+        return dataCentres.stream().map(DataCentreName::value).sorted().toList().hashCode();
+    }
+
     /**
      * Tells whether some data centres are more than half of all.
      *
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -10,7 +10,7 @@
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.admission.StaticAdmission;
-import org.lycheetray.daemon.config.ConfigPoller;
+import org.lycheetray.daemon.config.ConfigAgent;
 import org.lycheetray.daemon.config.ConfigView;
 import org.lycheetray.daemon.control.ControlThread;
 import org.lycheetray.daemon.http.HttpFront;
@@ -54,11 +54,11 @@
         PlatformClient platform =
                 closer.add("platform", PlatformClient.create(new PlatformSettings(settings.platform())));
         PeerNetwork peers = closer.add("peer-network", PeerNetwork.create(self, settings.fleetSecret(), clock));
-        ConfigPoller poller = closer.add("config", new ConfigPoller(platform, control, clock));
-        this.config = poller;
+        ConfigAgent agent = closer.add("config", ConfigAgent.create(self, settings, platform, peers, control, clock));
+        this.config = agent;
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
         RequestGates gates = new RequestGates(
-                poller,
+                agent,
                 new StaticAdmission(control, clock),
                 new TableClaims(platform.tables()),
                 new LocalSlots(control, settings.dataCentre()),
@@ -66,6 +66,7 @@
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
+        status.section("config", agent::describe);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -26,13 +26,54 @@
   2: string message
 }
 
+/** A configuration version and the digest of its manifest, in hexadecimal. */
+struct ConfigVersionRef {
+  1: i64 version
+  2: string digest
+}
+
+/** What a VM knows of the configuration. */
+struct ConfigState {
+  1: string vm
+  2: i64 incarnation
+  3: string dataCentre
+  4: optional ConfigVersionRef accepted
+  5: optional ConfigVersionRef pending
+  /** Age of the evidence that nothing above confirmedBound was accepted; missing if there is none. */
+  6: optional i64 confirmedAgeMicros
+  7: i64 confirmedBound
+  8: bool voter
+  9: i32 dataCentres
+}
+
+/** Asks for the peer's state and tells the own one. */
+struct ConfigProbe {
+  1: ConfigState sender
+}
+
+/** Asks for part of a manifest's canonical JSON. */
+struct ManifestRequest {
+  1: ConfigVersionRef ref
+  2: i32 offset
+}
+
+/** Part of a manifest; total is 0 if the peer does not have it. */
+struct ManifestPart {
+  1: i32 total
+  2: binary content
+}
+
 union Request {
   1: Ping ping
+  20: ConfigProbe configProbe
+  21: ManifestRequest manifest
 }
 
 union Reply {
   1: Pong pong
   2: Failure failure
+  20: ConfigState configState
+  21: ManifestPart manifestPart
 }
 
 /** What a frame carries after the greeting: a request or the reply with the same correlation number. */
