--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.lycheetray.core.ledger.LedgerLimits;
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.model.Policy;
 import org.lycheetray.core.time.Clock;
@@ -15,6 +16,7 @@
 import org.lycheetray.daemon.control.ControlThread;
 import org.lycheetray.daemon.http.HttpFront;
 import org.lycheetray.daemon.http.HttpFrontParts;
+import org.lycheetray.daemon.ledger.LedgerRecorder;
 import org.lycheetray.daemon.lifecycle.Closer;
 import org.lycheetray.daemon.lifecycle.Lifecycle;
 import org.lycheetray.daemon.lifecycle.Phase;
@@ -22,6 +24,7 @@
 import org.lycheetray.daemon.metrics.FleetMetrics;
 import org.lycheetray.daemon.peer.PeerNetwork;
 import org.lycheetray.daemon.request.RequestGates;
+import org.lycheetray.daemon.request.RequestObserver;
 import org.lycheetray.daemon.request.RequestPipeline;
 import org.lycheetray.daemon.request.internal.BackendClient;
 import org.lycheetray.daemon.running.PassiveAttempts;
@@ -56,6 +59,8 @@
         PeerNetwork peers = closer.add("peer-network", PeerNetwork.create(self, settings.fleetSecret(), clock));
         ConfigPoller poller = closer.add("config", new ConfigPoller(platform, control, clock));
         this.config = poller;
+        LedgerRecorder ledger = closer.add(
+                "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
         RequestGates gates = new RequestGates(
                 poller,
@@ -73,11 +78,12 @@
                 config,
                 new DeclaredVms(config, settings.dataCentre()),
                 pipeline,
-                metrics::finished,
+                observers(metrics::finished, ledger),
                 metrics,
                 status);
         metrics.gauge("lycheetray_requests_in_progress", lifecycle::inProgress);
         metrics.gauge("lycheetray_refused_peer_connections_total", peers::refusedConnections);
+        ledger.expose(metrics);
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
@@ -152,6 +158,13 @@
         node.put("configVersion", config.active().map(c -> c.version().number()).orElse(0L));
     }
 
+    private static RequestObserver observers(RequestObserver first, RequestObserver second) {
+        return r -> {
+            first.finished(r);
+            second.finished(r);
+        };
+    }
+
     private void checkReady() {
         if (config.active().isPresent()) {
             lifecycle.advance(Phase.SERVING);
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Writes the ledger of this process to the object store beside the traffic. */
+package org.lycheetray.daemon.ledger;
