--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateShares.java
@@ -0,0 +1,290 @@
+package org.lycheetray.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lycheetray.core.admission.internal.AccountShares;
+import org.lycheetray.core.admission.internal.Bucket;
+import org.lycheetray.core.admission.internal.VmContext;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.Manifest;
+import org.lycheetray.core.model.Vm;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+
+/**
+ * Decides at one VM whether a request is within its client account's fleet-wide rate and burst.
+ *
+ * <p>Each VM owns a base share of every account, as {@link BaseShares} says, and borrows more from its peers when it is
+ * short. At every moment the rates of all buckets and of all loans in use add up to at most the account's rate, and
+ * their capacities to at most its burst; tokens move but are never created. So in any window of t seconds the fleet
+ * admits at most burst plus rate times t requests, whatever becomes of processes and messages.
+ *
+ * <p>A share may be used only after {@link #hold}: a new process names a point at which whatever its predecessor has
+ * lent is no longer in use. With several configurations that may be in force at some VM, the lowest share of all of them
+ * counts. State is kept for accounts with demand only. For one thread.
+ */
+public final class RateShares {
+    private final VmName self;
+    private final VmContext context;
+    private final RateSharesOptions options;
+    private final Map<ClientAccountName, AccountShares> accounts = new HashMap<>();
+    private final Map<VmName, MonotonicTime> heldSince = new LinkedHashMap<>();
+    private final Set<VmName> activated = new HashSet<>();
+    private final Set<VmName> unreachable = new HashSet<>();
+    private List<BaseShares> inPlay = List.of();
+    private List<VmName> byNearness = List.of();
+    private MonotonicTime accruesSince = MonotonicTime.ZERO;
+
+    /**
+     * Creates the state of a new process, which holds no share yet.
+     *
+     * @param self this process
+     * @param options times, the same on all VMs
+     */
+    public RateShares(Incarnation self, RateSharesOptions options) {
+        this.self = self.vm();
+        this.options = options;
+        this.context = new VmContext(self, options, vm -> !vm.equals(this.self) && !unreachable.contains(vm));
+    }
+
+    /**
+     * Sets the configurations that may be in force at some VM.
+     *
+     * @param manifests the accepted one last; before it any pending one and any earlier one that a VM may not have left
+     *     yet
+     * @param now present point
+     */
+    public void onConfig(List<Manifest> manifests, MonotonicTime now) {
+        refreshShares(now);
+        List<BaseShares> next = manifests.stream().map(this::baseShares).toList();
+        if (next.equals(inPlay)) {
+            return;
+        }
+        if (inPlay.isEmpty()) {
+            accruesSince = now;
+        } else {
+            createChanged(next, now);
+        }
+        inPlay = next;
+        byNearness =
+                manifests.isEmpty() ? List.of() : byNearness(manifests.getLast().vms());
+        accounts.forEach((name, a) -> configure(name, a, now));
+    }
+
+    private BaseShares baseShares(Manifest m) {
+        return inPlay.stream().filter(b -> b.isOf(m)).findFirst().orElseGet(() -> new BaseShares(m));
+    }
+
+    /** Creates the state of accounts that change, since an account without state is taken to have had one share. */
+    private void createChanged(List<BaseShares> next, MonotonicTime now) {
+        Set<ClientAccountName> names = new HashSet<>();
+        next.forEach(b -> names.addAll(b.accounts()));
+        names.stream().filter(n -> !share(next, n).equals(share(inPlay, n))).forEach(n -> account(n, now));
+    }
+
+    private List<VmName> byNearness(List<Vm> vms) {
+        Vm own = vms.stream().filter(v -> v.name().equals(self)).findFirst().orElse(null);
+        List<Vm> others = new ArrayList<>(vms);
+        int start = own == null ? 0 : others.indexOf(own);
+        Collections.rotate(others, -start);
+        others.sort(Comparator.comparing(v -> own == null || !v.dataCentre().equals(own.dataCentre())));
+        return others.stream().map(Vm::name).filter(n -> !n.equals(self)).toList();
+    }
+
+    /**
+     * Lets this VM use a base share: its own, or that of a VM which is gone and whose heir it is.
+     *
+     * @param share VM that the share is named after
+     * @param from point from which nothing that an earlier owner lent is in use
+     * @param now present point
+     */
+    public void hold(VmName share, MonotonicTime from, MonotonicTime now) {
+        heldSince.put(share, from);
+        refreshShares(now);
+    }
+
+    /**
+     * Stops using a base share; loans out of it run until they are back, see {@link #isSettled}.
+     *
+     * @param share VM that the share is named after
+     * @param now present point
+     */
+    public void release(VmName share, MonotonicTime now) {
+        if (heldSince.remove(share) != null && activated.remove(share)) {
+            applyShares(now);
+        }
+    }
+
+    /**
+     * Tells whether no loan granted under an earlier configuration or out of a released share exceeds what this VM holds
+     * now. Only then may a lower configuration be acknowledged, or a released share be used by another VM.
+     *
+     * @param now present point
+     * @return true if so
+     */
+    public boolean isSettled(MonotonicTime now) {
+        return accounts.values().stream().noneMatch(a -> a.hasOverhang(now));
+    }
+
+    /**
+     * Names VMs that are of no use to ask.
+     *
+     * @param vms VMs that membership calls dead or unreachable
+     */
+    public void onUnreachable(Set<VmName> vms) {
+        unreachable.clear();
+        unreachable.addAll(vms);
+    }
+
+    /**
+     * Decides on a request.
+     *
+     * @param name client account whose key came with it
+     * @param deadline point at which the request is of no use any more
+     * @param now present point
+     * @return the decision and messages to send
+     */
+    public Admission admit(ClientAccountName name, MonotonicTime deadline, MonotonicTime now) {
+        refreshShares(now);
+        if (!isDeclared(name)) {
+            Limits none = new Limits(0, 0, 0, options.rest());
+            return new Admission(
+                    new Decision.Refused(Decision.Reason.UNKNOWN_ACCOUNT, options.rest(), none), List.of());
+        }
+        List<RateEffect> out = new ArrayList<>();
+        Decision d = account(name, now).admit(deadline, now, out);
+        return new Admission(d, out);
+    }
+
+    /**
+     * Withdraws a waiting request whose caller has gone.
+     *
+     * @param name client account of the request
+     * @param ticket names the request
+     */
+    public void cancel(ClientAccountName name, long ticket) {
+        AccountShares a = accounts.get(name);
+        if (a != null) {
+            a.cancel(ticket);
+        }
+    }
+
+    /**
+     * Handles a message.
+     *
+     * @param from sender
+     * @param message the message
+     * @param now present point
+     * @return what must be done
+     */
+    public List<RateEffect> onMessage(VmName from, LoanMessage message, MonotonicTime now) {
+        refreshShares(now);
+        if (!isDeclared(message.account())) {
+            return List.of();
+        }
+        List<RateEffect> out = new ArrayList<>();
+        account(message.account(), now).onMessage(from, message, now, out);
+        return out;
+    }
+
+    /**
+     * Does what is due; to be called every 20 ms or so.
+     *
+     * @param now present point
+     * @return what must be done
+     */
+    public List<RateEffect> tick(MonotonicTime now) {
+        refreshShares(now);
+        List<RateEffect> out = new ArrayList<>();
+        accounts.values().forEach(a -> a.tick(now, out));
+        accounts.values().removeIf(a -> a.isIdle(now));
+        return out;
+    }
+
+    /**
+     * Returns all loans, before the process ends.
+     *
+     * @return the messages
+     */
+    public List<RateEffect> returnAll() {
+        List<RateEffect> out = new ArrayList<>();
+        accounts.values().forEach(a -> a.returnAll(out));
+        return out;
+    }
+
+    /**
+     * Tells how many client accounts have state here.
+     *
+     * @return the number
+     */
+    public int accountCount() {
+        return accounts.size();
+    }
+
+    private boolean isDeclared(ClientAccountName name) {
+        return !inPlay.isEmpty() && inPlay.stream().allMatch(b -> b.whole(name).isPresent());
+    }
+
+    private AccountShares account(ClientAccountName name, MonotonicTime now) {
+        return accounts.computeIfAbsent(name, n -> create(n, now));
+    }
+
+    private AccountShares create(ClientAccountName name, MonotonicTime now) {
+        RateShare share = share(inPlay, name);
+        Bucket untouched = new Bucket(share.rate(), share.burst(), 0, accruesSince);
+        untouched.refill(now);
+        AccountShares a = new AccountShares(context, name, whole(name), share, untouched.tokens(), now);
+        configure(name, a, now);
+        return a;
+    }
+
+    private void configure(ClientAccountName name, AccountShares a, MonotonicTime now) {
+        List<VmName> holders = inPlay.isEmpty() ? List.of() : inPlay.getLast().holders(name);
+        List<VmName> nearestFirst =
+                byNearness.stream().filter(holders::contains).toList();
+        a.configure(whole(name), share(inPlay, name), nearestFirst, now);
+    }
+
+    private RateShare whole(ClientAccountName name) {
+        return inPlay.stream()
+                .map(b -> b.whole(name).orElse(RateShare.NONE))
+                .reduce(RateShare::min)
+                .orElse(RateShare.NONE);
+    }
+
+    private RateShare share(List<BaseShares> configs, ClientAccountName name) {
+        RateShare sum = RateShare.NONE;
+        for (VmName vm : activated) {
+            sum = sum.plus(configs.stream()
+                    .map(b -> b.share(name, vm))
+                    .reduce(RateShare::min)
+                    .orElse(RateShare.NONE));
+        }
+        return sum;
+    }
+
+    private void refreshShares(MonotonicTime now) {
+        boolean changed = false;
+        for (Map.Entry<VmName, MonotonicTime> e : heldSince.entrySet()) {
+            if (!now.isBefore(e.getValue())) {
+                changed |= activated.add(e.getKey());
+            }
+        }
+        if (changed) {
+            accruesSince = now;
+            applyShares(now);
+        }
+    }
+
+    private void applyShares(MonotonicTime now) {
+        accounts.forEach((name, a) -> a.setShare(share(inPlay, name), now));
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/AccountShares.java
@@ -0,0 +1,437 @@
+package org.lycheetray.core.admission.internal;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.lycheetray.core.admission.Decision;
+import org.lycheetray.core.admission.Limits;
+import org.lycheetray.core.admission.LoanId;
+import org.lycheetray.core.admission.LoanMessage;
+import org.lycheetray.core.admission.RateEffect;
+import org.lycheetray.core.admission.RateShare;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+
+/** One client account at one VM: its base share, the loans it holds, its demand and the requests that wait. */
+public final class AccountShares {
+    private static final long TOKEN = RateShare.TOKEN;
+    private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+
+    /** Rate that is asked for, and kept back from lending, in relation to the estimated demand. */
+    private static final double RATE_WANTED = 1.2;
+
+    private static final double RATE_KEPT = 1.05;
+
+    /** Tokens that are asked for, the least that is held before more are asked for, and what is kept from lending. */
+    private static final double SECONDS_WANTED = 0.8;
+
+    private static final double SECONDS_LOW = 0.3;
+    private static final double SECONDS_KEPT = 0.25;
+
+    /** Below this demand a token is asked for only when a request needs it. */
+    private static final double PREFETCH_PER_SECOND = 2;
+
+    private static final int PREFETCH_PEERS = 2;
+    private static final int MAX_LOANS = 48;
+    private static final int MAX_CANDIDATES = 48;
+    private static final Duration LEAST_HOLDING = Duration.ofMillis(400);
+    private static final Duration EXTENSION_PAUSE = Duration.ofMillis(300);
+
+    private final VmContext vm;
+    private final ClientAccountName name;
+    private final Lender base;
+    private final Borrower borrower = new Borrower();
+    private final LoanRequests requests = new LoanRequests();
+    private final Demand demand;
+    private final ArrayDeque<Waiter> waiters = new ArrayDeque<>();
+    private final Set<VmName> candidates = new LinkedHashSet<>();
+    private RateShare whole;
+    private long holderBurst;
+    private long holderRate;
+
+    /**
+     * Creates the state.
+     *
+     * @param vm what the accounts of this VM have in common
+     * @param name name of the account
+     * @param whole the account's rate and burst over the whole fleet
+     * @param share this VM's base share
+     * @param tokens tokens of the base share at first
+     * @param now present point
+     */
+    public AccountShares(
+            VmContext vm, ClientAccountName name, RateShare whole, RateShare share, long tokens, MonotonicTime now) {
+        this.vm = vm;
+        this.name = name;
+        this.whole = whole;
+        this.base = new Lender(vm.options(), share, tokens, now);
+        this.demand = new Demand(now);
+    }
+
+    /**
+     * Takes over another configuration.
+     *
+     * @param w the account's rate and burst over the whole fleet
+     * @param share this VM's base share
+     * @param holders VMs with a base share, the nearest first
+     * @param now present point
+     */
+    public void configure(RateShare w, RateShare share, List<VmName> holders, MonotonicTime now) {
+        refresh(now);
+        whole = w;
+        base.setShare(share);
+        candidates.clear();
+        holders.stream().limit(MAX_CANDIDATES).forEach(candidates::add);
+        holderBurst = w.burst() / Math.max(1, holders.size());
+        holderRate = w.rate() / Math.max(1, holders.size());
+    }
+
+    /**
+     * Changes the base share alone.
+     *
+     * @param share this VM's base share
+     * @param now present point
+     */
+    public void setShare(RateShare share, MonotonicTime now) {
+        refresh(now);
+        base.setShare(share);
+    }
+
+    /**
+     * The base share as it was last set.
+     *
+     * @return the share, lent parts included
+     */
+    public RateShare share() {
+        return base.share();
+    }
+
+    /**
+     * Tells whether loans granted under an earlier, greater share exceed the present one.
+     *
+     * @param now present point
+     * @return true until they are back
+     */
+    public boolean hasOverhang(MonotonicTime now) {
+        refresh(now);
+        return base.hasOverhang();
+    }
+
+    /**
+     * Tells whether nothing is lost when the state is dropped and later created anew with a full bucket.
+     *
+     * @param now present point
+     * @return true if so
+     */
+    public boolean isIdle(MonotonicTime now) {
+        refresh(now);
+        return waiters.isEmpty()
+                && borrower.count() == 0
+                && base.loanCount() == 0
+                && requests.isEmpty()
+                && base.bucket().tokens() >= base.share().burst()
+                && demand.perSecond(now) < 1e-3;
+    }
+
+    /**
+     * Decides on a request.
+     *
+     * @param deadline point at which the request is of no use any more
+     * @param now present point
+     * @param out receives messages to send
+     * @return the decision, possibly to wait
+     */
+    public Decision admit(MonotonicTime deadline, MonotonicTime now, List<RateEffect> out) {
+        refresh(now);
+        demand.arrived(now);
+        if (waiters.isEmpty() && takeToken()) {
+            prefetch(now, out);
+            return new Decision.Admitted(limits());
+        }
+        if (waiters.size() >= maxWaiters() || !now.isBefore(deadline)) {
+            return refusal(now);
+        }
+        MonotonicTime patienceEnd = now.plus(vm.options().patience());
+        Waiter waiter = new Waiter(vm.nextNumber(), deadline.isBefore(patienceEnd) ? deadline : patienceEnd);
+        waiters.add(waiter);
+        seekForWaiters(now, out);
+        if (requests.outstanding() == 0 && !accruesInTime(waiter, now)) {
+            waiters.removeLast();
+            return refusal(now);
+        }
+        return new Decision.Waiting(waiter.ticket());
+    }
+
+    private int maxWaiters() {
+        double within = whole.rate() * (vm.options().patience().toNanos() / NANOS_PER_SECOND);
+        return (int) Math.min(10_000, (whole.burst() + within) / TOKEN + 1);
+    }
+
+    private boolean accruesInTime(Waiter waiter, MonotonicTime now) {
+        double seconds = waiter.until().since(now).toNanos() / NANOS_PER_SECOND;
+        return available() + heldRate() * seconds >= (double) TOKEN * waiters.size()
+                && base.bucket().capacity() + borrower.capacity() >= TOKEN;
+    }
+
+    private boolean takeToken() {
+        if (available() < TOKEN) {
+            return false;
+        }
+        long taken = borrower.take(TOKEN);
+        base.bucket().take(TOKEN - taken);
+        return true;
+    }
+
+    /**
+     * Handles a message of another VM.
+     *
+     * @param from sender
+     * @param message the message
+     * @param now present point
+     * @param out receives what follows from it
+     */
+    public void onMessage(VmName from, LoanMessage message, MonotonicTime now, List<RateEffect> out) {
+        refresh(now);
+        switch (message) {
+            case LoanMessage.Request m -> onRequest(from, m, now, out);
+            case LoanMessage.Answer m -> onAnswer(m, now);
+            case LoanMessage.Extend m -> onExtend(from, m, now, out);
+            case LoanMessage.Extended m -> onExtended(m);
+            case LoanMessage.Return m -> base.takeBack(m.id(), m.tokens());
+        }
+        settle(now, out);
+    }
+
+    private void onRequest(VmName from, LoanMessage.Request m, MonotonicTime now, List<RateEffect> out) {
+        Optional<LoanMessage.Answer> earlier = base.alreadyAnswered(m.id());
+        if (earlier.isPresent()) {
+            out.add(new RateEffect.Send(from, earlier.get()));
+            return;
+        }
+        requests.askedBy(from, now);
+        LoanMessage.Answer answer = offer(from, m, now);
+        if (answer.share().burst() > 0) {
+            base.lend(from, answer, now);
+        }
+        out.add(new RateEffect.Send(from, answer));
+        if (answer.tokens() < m.tokens()) {
+            returnSurplus(now, Duration.ZERO, out);
+        }
+    }
+
+    private LoanMessage.Answer offer(VmName from, LoanMessage.Request m, MonotonicTime now) {
+        Bucket b = base.bucket();
+        double needed = demand.perSecond(now) * TOKEN;
+        long spareRate = clamp(heldRate() - needed * RATE_KEPT, b.rate());
+        long spareTokens = clamp(available() - (double) TOKEN * waiters.size() - needed * SECONDS_KEPT, b.tokens());
+        long rate = Math.min(m.rate(), spareRate);
+        double part = b.rate() == 0 ? 0 : (double) rate / b.rate();
+        long tokens = Math.min(spareTokens, Math.max(m.tokens(), (long) (part * b.tokens())));
+        long freeCapacity = b.capacity() - (b.tokens() - tokens);
+        long burst = Math.min(freeCapacity, Math.max(tokens, (long) (part * b.capacity())));
+        if (burst == 0) {
+            rate = 0;
+        }
+        return new LoanMessage.Answer(
+                m.id(), name, new RateShare(rate, burst), tokens, spareTokens - tokens, base.largestBorrower(from));
+    }
+
+    private static long clamp(double value, long most) {
+        return Math.max(0, Math.min((long) value, most));
+    }
+
+    private void onAnswer(LoanMessage.Answer m, MonotonicTime now) {
+        Optional<LoanRequests.Pending> pending = requests.answered(m, now);
+        if (pending.isEmpty()) {
+            return;
+        }
+        m.largestBorrower().filter(v -> candidates.size() < MAX_CANDIDATES).ifPresent(candidates::add);
+        MonotonicTime lapse = pending.get().sent.plus(vm.options().loanPeriod());
+        if (m.share().burst() > 0 && now.isBefore(lapse)) {
+            Bucket b = new Bucket(m.share().rate(), m.share().burst(), m.tokens(), now);
+            borrower.add(new HeldLoan(m.id(), pending.get().peer, b, now, lapse));
+        }
+    }
+
+    private void onExtend(VmName from, LoanMessage.Extend m, MonotonicTime now, List<RateEffect> out) {
+        if (base.extend(m.id(), now)) {
+            out.add(new RateEffect.Send(from, new LoanMessage.Extended(m.id(), name, m.number())));
+        }
+    }
+
+    private void onExtended(LoanMessage.Extended m) {
+        borrower.find(m.id()).ifPresent(l -> l.extended(m.number(), vm.options().loanPeriod()));
+        borrower.sort();
+    }
+
+    /**
+     * Does what is due: refuses requests that waited too long, asks again, extends and returns loans.
+     *
+     * @param now present point
+     * @param out receives what follows
+     */
+    public void tick(MonotonicTime now, List<RateEffect> out) {
+        refresh(now);
+        settle(now, out);
+        returnSurplus(now, LEAST_HOLDING, out);
+        extendLoans(now, out);
+        prefetch(now, out);
+    }
+
+    /**
+     * Withdraws a request whose caller has gone.
+     *
+     * @param ticket names the waiting request
+     */
+    public void cancel(long ticket) {
+        waiters.removeIf(w -> w.ticket() == ticket);
+    }
+
+    /**
+     * Returns all loans, before the process ends.
+     *
+     * @param out receives the messages
+     */
+    public void returnAll(List<RateEffect> out) {
+        borrower.loans().forEach(l -> giveBack(l, out));
+    }
+
+    private void settle(MonotonicTime now, List<RateEffect> out) {
+        while (!waiters.isEmpty() && now.isBefore(waiters.getFirst().until()) && takeToken()) {
+            out.add(new RateEffect.Decided(waiters.removeFirst().ticket(), new Decision.Admitted(limits())));
+        }
+        waiters.removeIf(w -> expire(w, now, out));
+        if (!waiters.isEmpty()) {
+            seekForWaiters(now, out);
+        }
+    }
+
+    private boolean expire(Waiter w, MonotonicTime now, List<RateEffect> out) {
+        boolean expired = !now.isBefore(w.until());
+        if (expired) {
+            out.add(new RateEffect.Decided(w.ticket(), refusal(now)));
+        }
+        return expired;
+    }
+
+    private void seekForWaiters(MonotonicTime now, List<RateEffect> out) {
+        double needed = demand.perSecond(now) * TOKEN;
+        long tokens = TOKEN * waiters.size() + (long) (needed * SECONDS_LOW) - available();
+        long rate = Math.max(0, (long) (needed * RATE_WANTED) - heldRate());
+        seek(tokens - requests.outstandingTokens(), rate, vm.options().parallelRequests(), now, out);
+    }
+
+    private void prefetch(MonotonicTime now, List<RateEffect> out) {
+        double perSecond = demand.perSecond(now);
+        if (perSecond < PREFETCH_PER_SECOND || !waiters.isEmpty() || requests.outstanding() > 0) {
+            return;
+        }
+        double needed = perSecond * TOKEN;
+        double shortfall = Math.max(0, needed - heldRate());
+        if (available() < TOKEN + needed * SECONDS_LOW + shortfall * SECONDS_WANTED) {
+            long rate = Math.max(0, (long) (needed * RATE_WANTED) - heldRate());
+            long tokens = TOKEN + (long) (needed * SECONDS_WANTED) - available();
+            seek(Math.max(tokens, 1), rate, PREFETCH_PEERS, now, out);
+        }
+    }
+
+    private void seek(long tokens, long rate, int parallel, MonotonicTime now, List<RateEffect> out) {
+        long guess = Math.max(TOKEN, holderBurst / 2);
+        long open = tokens;
+        long openRate = rate;
+        int room = Math.min(parallel, MAX_LOANS - borrower.count()) - requests.outstanding();
+        for (VmName peer : requests.askable(reachableCandidates(), guess, now)) {
+            if (open <= 0 || room-- <= 0) {
+                return;
+            }
+            LoanId id = vm.nextLoanId();
+            out.add(new RateEffect.Send(peer, new LoanMessage.Request(id, name, open, openRate)));
+            requests.sent(id, peer, open, guess, now);
+            open -= Math.min(open, requests.expected(peer, guess));
+            openRate -= Math.min(openRate, holderRate);
+        }
+    }
+
+    private List<VmName> reachableCandidates() {
+        return candidates.stream().filter(vm::isReachable).toList();
+    }
+
+    private void returnSurplus(MonotonicTime now, Duration leastHolding, List<RateEffect> out) {
+        double needed = demand.perSecond(now) * TOKEN;
+        for (HeldLoan loan : borrower.loans()) {
+            boolean young = now.since(loan.received).compareTo(leastHolding) < 0;
+            boolean rateKept = heldRate() - loan.bucket.rate() >= needed * RATE_KEPT || loan.bucket.rate() == 0;
+            double tokensKept = (double) TOKEN * waiters.size() + needed * SECONDS_LOW;
+            if (!young && rateKept && available() - loan.bucket.tokens() >= tokensKept) {
+                giveBack(loan, out);
+            }
+        }
+    }
+
+    private void giveBack(HeldLoan loan, List<RateEffect> out) {
+        borrower.remove(loan);
+        out.add(new RateEffect.Send(loan.lender, new LoanMessage.Return(loan.id, name, loan.bucket.tokens())));
+    }
+
+    private void extendLoans(MonotonicTime now, List<RateEffect> out) {
+        Duration before = vm.options().loanPeriod().dividedBy(2);
+        for (HeldLoan loan : borrower.loans()) {
+            if (loan.isExtensionDue(now, before, EXTENSION_PAUSE)) {
+                out.add(new RateEffect.Send(loan.lender, new LoanMessage.Extend(loan.id, name, loan.extend(now))));
+            }
+        }
+    }
+
+    private void refresh(MonotonicTime now) {
+        base.refresh(now);
+        borrower.refresh(now);
+        requests.refresh(now, vm.options().loanPeriod());
+    }
+
+    private long available() {
+        return base.bucket().tokens() + borrower.tokens();
+    }
+
+    private long heldRate() {
+        return base.bucket().rate() + borrower.rate();
+    }
+
+    private Limits limits() {
+        long rate = heldRate();
+        long missing = TOKEN - available() % TOKEN;
+        Duration reset = rate == 0 ? vm.options().rest() : seconds((double) missing / rate);
+        return new Limits(whole.rate() / TOKEN, whole.burst() / TOKEN, available() / TOKEN, reset);
+    }
+
+    private Decision refusal(MonotonicTime now) {
+        return new Decision.Refused(Decision.Reason.OVER_RATE, retryAfter(now), limits());
+    }
+
+    /**
+     * Time after which this VM has a token of its own base share, or else after which all loans are back at their
+     * lenders and enough has accrued there.
+     */
+    private Duration retryAfter(MonotonicTime now) {
+        Bucket b = base.bucket();
+        RateShare share = base.share();
+        if (b.capacity() >= TOKEN && b.rate() > 0) {
+            return seconds((double) (TOKEN - b.tokens()) / b.rate());
+        }
+        if (share.burst() >= TOKEN && share.rate() > 0) {
+            Duration back = base.allBackAt().map(t -> t.since(now)).orElse(Duration.ZERO);
+            return back.plus(seconds((double) TOKEN / share.rate()));
+        }
+        return vm.options().rest().plus(seconds((double) TOKEN / Math.max(1, whole.rate())));
+    }
+
+    private static Duration seconds(double s) {
+        return Duration.ofNanos((long) Math.ceil(Math.max(0, s) * NANOS_PER_SECOND));
+    }
+
+    /** A request that waits for a token until a point in time. */
+    private record Waiter(long ticket, MonotonicTime until) {}
+}
