--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/AdmissionMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/AdmissionMeasurement.java
@@ -36,7 +36,7 @@
     private static Tally runs(DemandPattern pattern, Fault fault, MeasureOptions options) {
         Tally sum = new Tally();
         int count = options.quick() ? 1 : RUNS;
-        for (Deployment deployment : Deployment.values()) {
+        for (Deployment deployment : Deployment.ALL) {
             for (int vmCount : VM_COUNTS) {
                 for (int i = 0; i < count; i++) {
                     Duration length = options.quick() ? QUICK_LENGTH : LENGTH;
@@ -51,8 +51,8 @@
     private static void report(String name, Tally tally, Fault fault, Figures figures) {
         String prefix = label(name);
         double bound = fault == Fault.NONE ? MAX_WRONGFUL_PERCENT : MAX_WRONGFUL_PERCENT_UNDER_FAULT;
-        figures.add(prefix + "-requests", tally.requests, "requests");
-        figures.atMost(prefix + "-over-admitted", tally.overAdmitted, "tokens", 0);
+        figures.add(prefix + "-requests", (double) tally.requests, "requests");
+        figures.atMost(prefix + "-over-admitted", (double) tally.overAdmitted, "tokens", 0);
         figures.atMost(prefix + "-wrongful", tally.wrongfulPercent(), "percent", bound);
         figures.add(prefix + "-wrongful-static-split", tally.wrongfulPercentOfSplit(), "percent");
     }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Deployment.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Deployment.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.lycheetray.core.model.ClientAccount;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.DataCentre;
@@ -16,50 +17,56 @@
 import org.lycheetray.core.model.Vm;
 import org.lycheetray.core.model.VmName;
 
-/** Sizes and delays of the two deployments: three regions of two data centres, eight accounts, a few of them large. */
-enum Deployment {
-    OLWYN(
-            List.of("gogledd", "de", "canolbarth"),
+/**
+ * Sizes, delays and rates of the two example deployments: three regions of two data centres, eight accounts.
+ *
+ * @param name name of the deployment
+ * @param regions its regions
+ * @param betweenDataCentres one-way delay within a region
+ * @param betweenRegions one-way delay between regions
+ * @param rates rates of its accounts
+ */
+record Deployment(
+        String name, List<RegionName> regions, Duration betweenDataCentres, Duration betweenRegions, List<Rate> rates) {
+    static final Deployment OLWYN = new Deployment(
+            "olwyn",
+            regions("gogledd", "de", "canolbarth"),
             Duration.ofMillis(1),
             Duration.ofMillis(12),
             List.of(
-                    new Rate(90, 180),
-                    new Rate(60, 90),
-                    new Rate(40, 60),
-                    new Rate(12, 24),
-                    new Rate(10, 20),
-                    new Rate(8, 16),
-                    new Rate(6, 12),
-                    new Rate(4, 8))),
-    GATOLOTE(
-            List.of("guate-centro", "altiplano", "peten"),
+                    new Rate(400, 800),
+                    new Rate(400, 800),
+                    new Rate(120, 240),
+                    new Rate(60, 120),
+                    new Rate(60, 120),
+                    new Rate(40, 100),
+                    new Rate(20, 40),
+                    new Rate(10, 20)));
+
+    static final Deployment GATOLOTE = new Deployment(
+            "gatolote",
+            regions("guate-centro", "altiplano", "peten"),
             Duration.ofNanos(500_000),
             Duration.ofMillis(20),
             List.of(
-                    new Rate(70, 140),
-                    new Rate(50, 50),
+                    new Rate(300, 600),
+                    new Rate(300, 600),
+                    new Rate(80, 160),
+                    new Rate(40, 80),
+                    new Rate(40, 80),
                     new Rate(30, 60),
-                    new Rate(15, 30),
-                    new Rate(10, 30),
-                    new Rate(8, 16),
-                    new Rate(5, 10),
-                    new Rate(3, 9)));
+                    new Rate(20, 40),
+                    new Rate(10, 20)));
+
+    static final List<Deployment> ALL = List.of(OLWYN, GATOLOTE);
 
     private static final int DATA_CENTRES_PER_REGION = 2;
     private static final Duration WITHIN_DATA_CENTRE = Duration.ofNanos(200_000);
     private static final Policy POLICY = new Policy(
             Duration.ofSeconds(60), Duration.ofSeconds(5), Duration.ofHours(24), Duration.ofSeconds(30), 1_000_000);
 
-    private final List<RegionName> regions;
-    private final Duration betweenDataCentres;
-    private final Duration betweenRegions;
-    private final List<Rate> rates;
-
-    Deployment(List<String> regions, Duration betweenDataCentres, Duration betweenRegions, List<Rate> rates) {
-        this.regions = regions.stream().map(RegionName::new).toList();
-        this.betweenDataCentres = betweenDataCentres;
-        this.betweenRegions = betweenRegions;
-        this.rates = rates;
+    private static List<RegionName> regions(String... names) {
+        return Stream.of(names).map(RegionName::new).toList();
     }
 
     Manifest manifest(int vmCount) {
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
@@ -35,7 +35,7 @@
     private final Manifest manifest;
     private final RateSharesOptions options = RateSharesOptions.DEFAULT;
     private final Map<VmName, Vm> vms = new HashMap<>();
-    private final Map<VmName, Process> processes = new HashMap<>();
+    private final Map<VmName, VmProcess> processes = new HashMap<>();
     private final Map<VmName, StaticSplit> splits = new HashMap<>();
     private final Map<ClientAccountName, ExactBucket> admitted = new HashMap<>();
     private final Map<ClientAccountName, ExactBucket> reference = new HashMap<>();
@@ -69,7 +69,7 @@
     /** Starts a process whose base share may be used from a point in time; null if not yet known. */
     void start(VmName name, MonotonicTime shareFrom) {
         RateShares shares = new RateShares(new Incarnation(name, loop.now().nanos() / 1_000_000), options);
-        processes.put(name, new Process(shares));
+        processes.put(name, new VmProcess(shares));
         shares.onConfig(List.of(manifest), loop.now());
         if (shareFrom != null) {
             hold(name, name, shareFrom);
@@ -110,11 +110,11 @@
     private boolean isConnected(VmName a, VmName b) {
         DataCentreName da = vms.get(a).dataCentre();
         DataCentreName db = vms.get(b).dataCentre();
-        return da.equals(db) || !cutOff.contains(da) && !cutOff.contains(db);
+        return da.equals(db) || (!cutOff.contains(da) && !cutOff.contains(db));
     }
 
     void request(ClientAccount account, Vm vm) {
-        Process p = processes.get(vm.name());
+        VmProcess p = processes.get(vm.name());
         if (p == null) {
             return;
         }
@@ -149,7 +149,7 @@
         processes.forEach((name, p) -> perform(name, p, p.shares.tick(loop.now())));
     }
 
-    private void perform(VmName self, Process p, List<RateEffect> effects) {
+    private void perform(VmName self, VmProcess p, List<RateEffect> effects) {
         for (RateEffect e : effects) {
             switch (e) {
                 case RateEffect.Send s -> send(self, s.to(), s.message());
@@ -161,7 +161,7 @@
     private void send(VmName from, VmName to, LoanMessage message) {
         tally.messages++;
         loop.after(deployment.delay(vms.get(from), vms.get(to)), () -> {
-            Process p = processes.get(to);
+            VmProcess p = processes.get(to);
             if (p != null && isConnected(from, to)) {
                 perform(to, p, p.shares.onMessage(from, message, loop.now()));
             }
@@ -169,11 +169,11 @@
     }
 
     /** A process of a VM and the requests that wait in it. */
-    private static final class Process {
+    private static final class VmProcess {
         private final RateShares shares;
         private final Map<Long, Request> waiting = new HashMap<>();
 
-        Process(RateShares shares) {
+        VmProcess(RateShares shares) {
             this.shares = shares;
         }
     }
