--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/LoanMessage.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/LoanMessage.java
@@ -32,8 +32,10 @@
      * @param account client account
      * @param tokens tokens wanted
      * @param rate rate wanted
+     * @param urgent true if requests wait for the tokens, false if they are wanted ahead of need
      */
-    record Request(LoanId id, ClientAccountName account, long tokens, long rate) implements LoanMessage {}
+    record Request(LoanId id, ClientAccountName account, long tokens, long rate, boolean urgent)
+            implements LoanMessage {}
 
     /**
      * Lender to borrower: what is lent, which may be nothing.
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateShares.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.lycheetray.core.admission.internal.AccountShares;
 import org.lycheetray.core.admission.internal.Bucket;
 import org.lycheetray.core.admission.internal.VmContext;
@@ -32,6 +33,8 @@
  * counts. State is kept for accounts with demand only. For one thread.
  */
 public final class RateShares {
+    private static final int SMALL_FLEET = 16;
+
     private final VmName self;
     private final VmContext context;
     private final RateSharesOptions options;
@@ -220,6 +223,20 @@
         return out;
     }
 
+    /**
+     * Gives the rate and capacity of all buckets that this VM may use now, its own and borrowed. Over the fleet they add
+     * up to at most the account's rate and burst.
+     *
+     * @param name client account
+     * @param now present point
+     * @return the sum, without what is lent to others
+     */
+    public RateShare held(ClientAccountName name, MonotonicTime now) {
+        refreshShares(now);
+        AccountShares a = accounts.get(name);
+        return a == null ? share(inPlay, name) : a.held(now);
+    }
+
     /**
      * Tells how many client accounts have state here.
      *
@@ -248,9 +265,17 @@
 
     private void configure(ClientAccountName name, AccountShares a, MonotonicTime now) {
         List<VmName> holders = inPlay.isEmpty() ? List.of() : inPlay.getLast().holders(name);
-        List<VmName> nearestFirst =
-                byNearness.stream().filter(holders::contains).toList();
-        a.configure(whole(name), share(inPlay, name), nearestFirst, now);
+        a.configure(whole(name), share(inPlay, name), holders.size(), candidates(holders), now);
+    }
+
+    /** Holders, the nearest first; in a small fleet then the others, which may hold loans that they do not need. */
+    private List<VmName> candidates(List<VmName> holders) {
+        Stream<VmName> near = byNearness.stream().filter(holders::contains);
+        if (byNearness.size() > SMALL_FLEET) {
+            return near.toList();
+        }
+        return Stream.concat(near, byNearness.stream().filter(n -> !holders.contains(n)))
+                .toList();
     }
 
     private RateShare whole(ClientAccountName name) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateSharesOptions.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateSharesOptions.java
@@ -13,7 +13,7 @@
 public record RateSharesOptions(Duration loanPeriod, Duration driftMargin, Duration patience, int parallelRequests) {
     /** Values that suit two to a few hundred VMs. */
     public static final RateSharesOptions DEFAULT =
-            new RateSharesOptions(Duration.ofSeconds(4), Duration.ofMillis(40), Duration.ofMillis(300), 12);
+            new RateSharesOptions(Duration.ofSeconds(4), Duration.ofMillis(40), Duration.ofMillis(800), 12);
 
     /** Checks the values. */
     public RateSharesOptions {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/AccountShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/AccountShares.java
@@ -31,11 +31,19 @@
 
     private static final double SECONDS_LOW = 0.3;
     private static final double SECONDS_KEPT = 0.25;
+    private static final double SECONDS_KEPT_WHEN_URGENT = 0.03;
 
     /** Below this demand a token is asked for only when a request needs it. */
     private static final double PREFETCH_PER_SECOND = 2;
 
     private static final int PREFETCH_PEERS = 2;
+
+    /** A request is for at least such a part of a holder's burst. */
+    private static final int CHUNKS_PER_HOLDER = 8;
+
+    /** Time after an urgent request that could not be met in which nothing is asked for, or lent, ahead of need. */
+    private static final Duration SCARCITY = Duration.ofMillis(500);
+
     private static final int MAX_LOANS = 48;
     private static final int MAX_CANDIDATES = 48;
     private static final Duration LEAST_HOLDING = Duration.ofMillis(400);
@@ -50,6 +58,7 @@
     private final ArrayDeque<Waiter> waiters = new ArrayDeque<>();
     private final Set<VmName> candidates = new LinkedHashSet<>();
     private RateShare whole;
+    private MonotonicTime scarceUntil;
     private long holderBurst;
     private long holderRate;
 
@@ -70,6 +79,7 @@
         this.whole = whole;
         this.base = new Lender(vm.options(), share, tokens, now);
         this.demand = new Demand(now);
+        this.scarceUntil = now;
     }
 
     /**
@@ -77,17 +87,18 @@
      *
      * @param w the account's rate and burst over the whole fleet
      * @param share this VM's base share
-     * @param holders VMs with a base share, the nearest first
+     * @param holderCount number of VMs with a base share
+     * @param peers VMs to borrow from, those that are best to ask first
      * @param now present point
      */
-    public void configure(RateShare w, RateShare share, List<VmName> holders, MonotonicTime now) {
+    public void configure(RateShare w, RateShare share, int holderCount, List<VmName> peers, MonotonicTime now) {
         refresh(now);
         whole = w;
         base.setShare(share);
         candidates.clear();
-        holders.stream().limit(MAX_CANDIDATES).forEach(candidates::add);
-        holderBurst = w.burst() / Math.max(1, holders.size());
-        holderRate = w.rate() / Math.max(1, holders.size());
+        peers.stream().limit(MAX_CANDIDATES).forEach(candidates::add);
+        holderBurst = w.burst() / Math.max(1, holderCount);
+        holderRate = w.rate() / Math.max(1, holderCount);
     }
 
     /**
@@ -110,6 +121,17 @@
         return base.share();
     }
 
+    /**
+     * Sums up the buckets in use.
+     *
+     * @param now present point
+     * @return rate and capacity
+     */
+    public RateShare held(MonotonicTime now) {
+        refresh(now);
+        return new RateShare(heldRate(), base.bucket().capacity() + borrower.capacity());
+    }
+
     /**
      * Tells whether loans granted under an earlier, greater share exceed the present one.
      *
@@ -204,6 +226,7 @@
             case LoanMessage.Return m -> base.takeBack(m.id(), m.tokens());
         }
         settle(now, out);
+        returnSpent(out);
     }
 
     private void onRequest(VmName from, LoanMessage.Request m, MonotonicTime now, List<RateEffect> out) {
@@ -219,15 +242,20 @@
         }
         out.add(new RateEffect.Send(from, answer));
         if (answer.tokens() < m.tokens()) {
-            returnSurplus(now, Duration.ZERO, out);
+            scarceUntil = m.urgent() ? now.plus(SCARCITY) : scarceUntil;
+            returnSurplus(now, Duration.ZERO, m.urgent() ? SECONDS_KEPT_WHEN_URGENT : SECONDS_LOW, out);
         }
     }
 
     private LoanMessage.Answer offer(VmName from, LoanMessage.Request m, MonotonicTime now) {
         Bucket b = base.bucket();
+        if (!m.urgent() && now.isBefore(scarceUntil)) {
+            return new LoanMessage.Answer(m.id(), name, RateShare.NONE, 0, 0, base.largestBorrower(from));
+        }
         double needed = demand.perSecond(now) * TOKEN;
+        double tokensKept = TOKEN * waiters.size() + needed * (m.urgent() ? SECONDS_KEPT_WHEN_URGENT : SECONDS_KEPT);
         long spareRate = clamp(heldRate() - needed * RATE_KEPT, b.rate());
-        long spareTokens = clamp(available() - (double) TOKEN * waiters.size() - needed * SECONDS_KEPT, b.tokens());
+        long spareTokens = clamp(available() - tokensKept, b.tokens());
         long rate = Math.min(m.rate(), spareRate);
         double part = b.rate() == 0 ? 0 : (double) rate / b.rate();
         long tokens = Math.min(spareTokens, Math.max(m.tokens(), (long) (part * b.tokens())));
@@ -277,7 +305,8 @@
     public void tick(MonotonicTime now, List<RateEffect> out) {
         refresh(now);
         settle(now, out);
-        returnSurplus(now, LEAST_HOLDING, out);
+        returnSpent(out);
+        returnSurplus(now, LEAST_HOLDING, SECONDS_LOW, out);
         extendLoans(now, out);
         prefetch(now, out);
     }
@@ -327,7 +356,10 @@
 
     private void prefetch(MonotonicTime now, List<RateEffect> out) {
         double perSecond = demand.perSecond(now);
-        if (perSecond < PREFETCH_PER_SECOND || !waiters.isEmpty() || requests.outstanding() > 0) {
+        if (perSecond < PREFETCH_PER_SECOND
+                || !waiters.isEmpty()
+                || requests.outstanding() > 0
+                || now.isBefore(scarceUntil)) {
             return;
         }
         double needed = perSecond * TOKEN;
@@ -339,19 +371,23 @@
         }
     }
 
+    /** Spreads what is short over the peers that may have it, so that no peer's bucket stays full meanwhile. */
     private void seek(long tokens, long rate, int parallel, MonotonicTime now, List<RateEffect> out) {
+        int room = Math.min(parallel, MAX_LOANS - borrower.count()) - requests.outstanding();
+        if (tokens <= 0 || room <= 0) {
+            return;
+        }
         long guess = Math.max(TOKEN, holderBurst / 2);
-        long open = tokens;
+        long chunk = Math.max(TOKEN, holderBurst / CHUNKS_PER_HOLDER);
+        List<VmName> peers = requests.askable(reachableCandidates(), guess, now);
+        long count = Math.min(Math.min(peers.size(), room), Math.ceilDiv(tokens, chunk));
+        long each = Math.max(chunk, tokens / Math.max(1, count));
         long openRate = rate;
-        int room = Math.min(parallel, MAX_LOANS - borrower.count()) - requests.outstanding();
-        for (VmName peer : requests.askable(reachableCandidates(), guess, now)) {
-            if (open <= 0 || room-- <= 0) {
-                return;
-            }
+        for (VmName peer : peers.subList(0, (int) count)) {
             LoanId id = vm.nextLoanId();
-            out.add(new RateEffect.Send(peer, new LoanMessage.Request(id, name, open, openRate)));
-            requests.sent(id, peer, open, guess, now);
-            open -= Math.min(open, requests.expected(peer, guess));
+            boolean urgent = !waiters.isEmpty();
+            out.add(new RateEffect.Send(peer, new LoanMessage.Request(id, name, each, openRate, urgent)));
+            requests.sent(id, peer, each, guess, now);
             openRate -= Math.min(openRate, holderRate);
         }
     }
@@ -360,18 +396,27 @@
         return candidates.stream().filter(vm::isReachable).toList();
     }
 
-    private void returnSurplus(MonotonicTime now, Duration leastHolding, List<RateEffect> out) {
+    private void returnSurplus(MonotonicTime now, Duration leastHolding, double secondsKept, List<RateEffect> out) {
         double needed = demand.perSecond(now) * TOKEN;
         for (HeldLoan loan : borrower.loans()) {
             boolean young = now.since(loan.received).compareTo(leastHolding) < 0;
             boolean rateKept = heldRate() - loan.bucket.rate() >= needed * RATE_KEPT || loan.bucket.rate() == 0;
-            double tokensKept = (double) TOKEN * waiters.size() + needed * SECONDS_LOW;
+            double tokensKept = (double) TOKEN * waiters.size() + needed * secondsKept;
             if (!young && rateKept && available() - loan.bucket.tokens() >= tokensKept) {
                 giveBack(loan, out);
             }
         }
     }
 
+    /** Gives capacity back as soon as the tokens that came with it are spent, so that the lender's refill has room. */
+    private void returnSpent(List<RateEffect> out) {
+        for (HeldLoan loan : borrower.loans()) {
+            if (loan.bucket.rate() == 0 && loan.bucket.tokens() == 0) {
+                giveBack(loan, out);
+            }
+        }
+    }
+
     private void giveBack(HeldLoan loan, List<RateEffect> out) {
         borrower.remove(loan);
         out.add(new RateEffect.Send(loan.lender, new LoanMessage.Return(loan.id, name, loan.bucket.tokens())));
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/Demand.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/Demand.java
@@ -3,13 +3,25 @@
 import java.time.Duration;
 import org.lycheetray.core.time.MonotonicTime;
 
-/** Exponentially weighted arrival rate; steers who borrows what, but never whether the sum stays within the whole. */
+/**
+ * Estimates a client account's lasting arrival rate at one VM; steers who borrows what, but never whether the sum stays
+ * within the whole.
+ *
+ * <p>An exponentially weighted average over short slots, in which a slot counts for at most a small multiple of the
+ * average so far. So a burst does not look like lasting demand, demand that lasts is known after a few slots, and demand
+ * that has ended is soon forgotten.
+ */
 public final class Demand {
-    private static final double MEMORY_SECONDS = 0.6;
-    private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+    private static final long SLOT_NANOS = Duration.ofMillis(200).toNanos();
+    private static final double SLOTS_PER_SECOND = 5;
+    private static final double WEIGHT = 0.25;
+    private static final int MAX_GROWTH = 3;
+    private static final int ALWAYS_COUNTED = 3;
+    private static final int FORGOTTEN_AFTER_SLOTS = 100;
 
-    private double perSecond;
-    private MonotonicTime updated;
+    private double perSlot;
+    private long arrivedInSlot;
+    private long slot;
 
     /**
      * Starts without demand.
@@ -17,7 +29,7 @@
      * @param now present point
      */
     public Demand(MonotonicTime now) {
-        updated = now;
+        slot = Math.floorDiv(now.nanos(), SLOT_NANOS);
     }
 
     /**
@@ -26,8 +38,8 @@
      * @param now present point
      */
     public void arrived(MonotonicTime now) {
-        perSecond = perSecond(now) + 1 / MEMORY_SECONDS;
-        updated = now;
+        advance(now);
+        arrivedInSlot++;
     }
 
     /**
@@ -37,7 +49,22 @@
      * @return requests per second
      */
     public double perSecond(MonotonicTime now) {
-        double seconds = (now.nanos() - updated.nanos()) / NANOS_PER_SECOND;
-        return seconds <= 0 ? perSecond : perSecond * Math.exp(-seconds / MEMORY_SECONDS);
+        advance(now);
+        return perSlot * SLOTS_PER_SECOND;
+    }
+
+    private void advance(MonotonicTime now) {
+        long present = Math.floorDiv(now.nanos(), SLOT_NANOS);
+        if (present - slot > FORGOTTEN_AFTER_SLOTS) {
+            perSlot = 0;
+            arrivedInSlot = 0;
+            slot = present;
+        }
+        while (slot < present) {
+            double counted = Math.min((double) arrivedInSlot, MAX_GROWTH * perSlot + ALWAYS_COUNTED);
+            perSlot += WEIGHT * (counted - perSlot);
+            arrivedInSlot = 0;
+            slot++;
+        }
     }
 }
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/admission/LimitsTest.java
@@ -0,0 +1,16 @@
+package org.lycheetray.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class LimitsTest {
+    @Test
+    void headersFollowTheDraft() {
+        Limits limits = new Limits(40, 100, 7, Duration.ofMillis(1200));
+
+        assertThat(limits.policyHeader()).isEqualTo("\"account\";q=100;w=3");
+        assertThat(limits.header()).isEqualTo("\"account\";r=7;t=2");
+    }
+}
