Command-line tool: accounts and explain

Cause: operators answer disputes line by line and must see what is missing. Change: accounts prints totals by client account and period or single lines as table, CSV or JSON, shows gaps and exits 7 when a part of the ledger is missing; explain shows one request with its configuration version and reason.

--- a/lycheetray-cli/src/main/java/org/lycheetray/cli/ExitCode.java
+++ b/lycheetray-cli/src/main/java/org/lycheetray/cli/ExitCode.java
@@ -15,7 +15,9 @@
     /** An answer was lost: the change may have taken effect or may yet. */
     IN_DOUBT(5),
     /** Submitted, but not accepted within the time given. */
-    NOT_YET_ACCEPTED(6);
+    NOT_YET_ACCEPTED(6),
+    /** Done, but a part of the ledger is missing. */
+    INCOMPLETE(7);
 
     private final int code;
 
--- a/lycheetray-cli/src/main/java/org/lycheetray/cli/internal/Commands.java
+++ b/lycheetray-cli/src/main/java/org/lycheetray/cli/internal/Commands.java
@@ -20,6 +20,8 @@
             new SubmitCommand(),
             new StatusCommand(),
             new DrainStatusCommand(),
+            new AccountsCommand(),
+            new ExplainCommand(),
             new KeyHashCommand());
 
     private Commands() {}
--- /dev/null
+++ b/lycheetray-cli/src/main/java/org/lycheetray/cli/internal/ExplainCommand.java
@@ -0,0 +1,83 @@
+package org.lycheetray.cli.internal;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.lycheetray.cli.ExitCode;
+import org.lycheetray.core.ledger.LedgerLine;
+import org.lycheetray.core.ledger.LedgerNames;
+import org.lycheetray.core.ledger.LedgerSegment;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.RequestId;
+import org.lycheetray.platform.PlatformClient;
+import org.lycheetray.platform.ledger.LedgerReader;
+import reactor.core.publisher.Flux;
+
+/** Shows what happened to one request. */
+final class ExplainCommand implements Command {
+    /** Where a line was found. */
+    private record Found(LedgerSegment segment, LedgerLine line) {}
+
+    @Override
+    public List<String> words() {
+        return List.of("explain");
+    }
+
+    @Override
+    public String arguments() {
+        return "REQUEST-ID";
+    }
+
+    @Override
+    public String summary() {
+        return "what happened to one request, from the ledger";
+    }
+
+    @Override
+    public ExitCode run(CommandContext context, CommandLine line) throws CommandException {
+        if (line.getArgList().size() != 1) {
+            throw CommandException.usage("one request id is expected, the value of Lycheetray-Request-Id");
+        }
+        RequestId id = new RequestId(line.getArgList().getFirst());
+        Incarnation process = LedgerNames.incarnation(id)
+                .orElseThrow(() -> CommandException.usage("not a request id of the form VM.PROCESS.NUMBER: " + id));
+        try (PlatformClient platform = context.platform(line)) {
+            Optional<Found> found = new LedgerReader(platform.objects())
+                    .process(process, context.clock().instant())
+                    .filter(Either::isRight)
+                    .map(Either::get)
+                    .concatMap(s -> find(s, id))
+                    .next()
+                    .blockOptional();
+            if (found.isEmpty()) {
+                throw CommandException.failed(
+                        "no line of %s in the ledger of %s; see lycheetray accounts for gaps".formatted(id, process));
+            }
+            print(context, line, found.get());
+            return ExitCode.OK;
+        }
+    }
+
+    private static Flux<Found> find(LedgerSegment s, RequestId id) {
+        return Flux.fromIterable(s.lines()).filter(l -> l.id().equals(id)).map(l -> new Found(s, l));
+    }
+
+    private static void print(CommandContext context, CommandLine line, Found found) {
+        ObjectNode json = LedgerOutput.lineJson(found.line())
+                .put("vm", found.segment().incarnation().vm().value())
+                .put("incarnation", found.segment().incarnation().number())
+                .put("segment", LedgerNames.of(found.segment()));
+        if (line.hasOption(Commands.JSON)) {
+            context.printJson(json);
+            return;
+        }
+        json.properties()
+                .forEach(e -> context.out()
+                        .printf(
+                                "%-12s %s%n",
+                                e.getKey(),
+                                e.getValue().isNull() ? "-" : e.getValue().asText()));
+    }
+}
--- a/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerNames.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerNames.java
@@ -63,7 +63,8 @@
      * @return the days in order; one more than the period has, since lines are written when requests end
      */
     public static List<LocalDate> days(Instant from, Instant to) {
-        return day(from).datesUntil(day(to).plusDays(2)).toList();
+        LocalDate end = day(to.isAfter(from) ? to : from);
+        return day(from).datesUntil(end.plusDays(2)).toList();
     }
 
     /**
--- /dev/null
+++ b/lycheetray-platform/src/main/java/org/lycheetray/platform/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the ledger from the object store. */
+package org.lycheetray.platform.ledger;
