--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/FreePorts.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/FreePorts.java
@@ -24,8 +24,8 @@
         }
         List<BackendServer> servers = new ArrayList<>();
         for (BackendServer b : m.backendServers()) {
-            servers.add(new BackendServer(
-                    b.name(), b.service(), b.dataCentre(), next(ports), b.slots(), b.connections()));
+            servers.add(
+                    new BackendServer(b.name(), b.service(), b.dataCentre(), next(ports), b.slots(), b.connections()));
         }
         return new Manifest(
                 m.regions(),
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/HeldConnection.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/HeldConnection.java
@@ -33,7 +33,8 @@
         for (String header = line(); !header.isEmpty(); header = line()) {
             String lower = header.toLowerCase(Locale.ROOT);
             if (lower.startsWith("content-length:")) {
-                length = Integer.parseInt(lower.substring(lower.indexOf(':') + 1).strip());
+                length =
+                        Integer.parseInt(lower.substring(lower.indexOf(':') + 1).strip());
             }
         }
         return new Response(status, length >= 0 ? text(length) : chunks());
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/LocalFleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/LocalFleet.java
@@ -44,8 +44,9 @@
                 .vms(manifest.vms().stream().map(Vm::name).toList()));
         client = PlatformClient.create(new PlatformSettings(platform.url()));
         config = new ConfigClient(client.tables(), client.objects());
-        backends = BackendStandinFleet.create(
-                new BackendStandinSettings(manifest).standardTime(Duration.ofMillis(2)).seed(seed));
+        backends = BackendStandinFleet.create(new BackendStandinSettings(manifest)
+                .standardTime(Duration.ofMillis(2))
+                .seed(seed));
         FleetSecret secret = FleetSecret.of("measure-config-" + seed + "-0123456789abcdef");
         for (Vm vm : manifest.vms()) {
             daemons.add(Daemon.create(settings(vm, secret), clock));
@@ -62,8 +63,7 @@
 
     /** Submits a manifest on the newest version and gives the version that it got. */
     ConfigVersion submit(Manifest m) {
-        ConfigVersion base =
-                config.head().block().map(ConfigHead::version).orElse(ConfigVersion.NONE);
+        ConfigVersion base = config.head().block().map(ConfigHead::version).orElse(ConfigVersion.NONE);
         Submission submission = new Submission("measure-" + submissions++, "measure", clock.instant());
         SubmitResult result = config.submit(m, base, submission).block();
         if (result instanceof SubmitResult.Submitted s) {
@@ -91,9 +91,8 @@
 
     @Override
     public void close() throws InterruptedException {
-        List<Thread> stops = daemons.stream()
-                .map(d -> Thread.ofVirtual().start(d::close))
-                .toList();
+        List<Thread> stops =
+                daemons.stream().map(d -> Thread.ofVirtual().start(d::close)).toList();
         for (Thread t : stops) {
             t.join();
         }
