--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -88,12 +88,7 @@
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
-        LogEvent.of("started")
-                .with("vm", settings.vm())
-                .with("incarnation", self.number())
-                .with("callers", settings.callers())
-                .with("peers", settings.peers())
-                .info();
+        logStarted(self, settings);
     }
 
     /**
@@ -150,6 +145,15 @@
         stopped.countDown();
     }
 
+    private static void logStarted(Incarnation self, Settings settings) {
+        LogEvent.of("started")
+                .with("vm", settings.vm())
+                .with("incarnation", self.number())
+                .with("callers", settings.callers())
+                .with("peers", settings.peers())
+                .info();
+    }
+
     private void describe(Incarnation self, Settings settings, ObjectNode node) {
         node.put("vm", self.vm().value());
         node.put("incarnation", self.number());
