--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/FreePorts.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/FreePorts.java
@@ -49,7 +49,7 @@
         List<ServerSocket> open = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < number; i++) {
-            ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST));
+            ServerSocket s = new ServerSocket(0, 1, InetAddress.ofLiteral(HOST));
             open.add(s);
             ports.add(s.getLocalPort());
         }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/HeldConnection.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/HeldConnection.java
@@ -11,6 +11,7 @@
 /** One HTTP/1.1 connection that stays open from the first request to the last. */
 final class HeldConnection implements AutoCloseable {
     private static final int READ_TIMEOUT_MS = 10_000;
+    private static final int STATUS_DIGITS = 3;
 
     /** A response; the body as text. */
     record Response(int status, String body) {}
@@ -28,7 +29,7 @@
     Response get(String path, String key) throws IOException {
         String request = "GET " + path + " HTTP/1.1\r\nHost: measure\r\nAuthorization: Bearer " + key + "\r\n\r\n";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-        int status = Integer.parseInt(line().split(" ")[1]);
+        int status = statusOf(line());
         int length = -1;
         for (String header = line(); !header.isEmpty(); header = line()) {
             String lower = header.toLowerCase(Locale.ROOT);
@@ -45,6 +46,11 @@
         socket.close();
     }
 
+    private static int statusOf(String statusLine) {
+        int start = statusLine.indexOf(' ') + 1;
+        return Integer.parseInt(statusLine, start, start + STATUS_DIGITS, 10);
+    }
+
     private String chunks() throws IOException {
         StringBuilder body = new StringBuilder();
         for (int size = Integer.parseInt(line(), 16); size > 0; size = Integer.parseInt(line(), 16)) {
