--- a/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimTableTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimTableTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.table.Row;
 
@@ -50,7 +51,10 @@
         AttemptId run = a.running("r1", "k");
         b.claim("r2", "k", "same").store();
         a.take(a.table.peerAsked(
-                new PeerQuestion(new VmName("vm-2"), b.questions.getFirst().number()), run));
+                new PeerQuestion(
+                        new Incarnation(new VmName("vm-2"), 1),
+                        b.questions.getFirst().number()),
+                run));
         a.end(run, ANSWERED);
         b.take(b.table.peerAnswered(
                 a.answers.getFirst().question().number(), a.answers.getFirst().result(), b.now));
@@ -92,7 +96,7 @@
         b.claim("r2", "k", "same").store();
         a.store()
                 .take(a.table.peerAsked(
-                        new PeerQuestion(new VmName("vm-2"), 1),
+                        new PeerQuestion(new Incarnation(new VmName("vm-2"), 1), 1),
                         b.questions.getFirst().attempt()));
         b.take(b.table.peerAnswered(1, a.answers.getFirst().result(), b.now)).store();
         assertThat(b.verdicts.get("r2")).isInstanceOf(ClaimVerdict.Run.class);
