--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimSettings.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimSettings.java
@@ -24,5 +24,5 @@
         int maxClaims) {
     /** Settings for several hundred store writes a second shared by a small fleet. */
     public static final ClaimSettings DEFAULT = new ClaimSettings(
-            Duration.ofMillis(5), 64, 4, Duration.ofMillis(100), Duration.ofMillis(50), Duration.ofSeconds(2), 20_000);
+            Duration.ofMillis(5), 64, 2, Duration.ofMillis(100), Duration.ofMillis(50), Duration.ofSeconds(2), 20_000);
 }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/History.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/History.java
@@ -6,9 +6,10 @@
 
 /** What happened in one run, as callers and backend servers saw it. */
 public final class History {
-    private final List<Sent> sent = new ArrayList<>();
-    private final List<Execution> executions = new ArrayList<>();
-    private final List<Told> told = new ArrayList<>();
+    private final List<Event> events = new ArrayList<>();
+
+    /** Something that happened. */
+    public sealed interface Event {}
 
     /**
      * A request that a caller sent.
@@ -17,7 +18,7 @@
      * @param key idempotency key
      * @param content what it asks for
      */
-    public record Sent(String request, String key, String content) {}
+    public record Sent(String request, String key, String content) implements Event {}
 
     /**
      * A backend server began to run a request.
@@ -26,7 +27,7 @@
      * @param key idempotency key
      * @param answer unique text that its answer carries
      */
-    public record Execution(String request, String key, String answer) {}
+    public record Execution(String request, String key, String answer) implements Event {}
 
     /**
      * What a caller was told.
@@ -36,59 +37,34 @@
      * @param answer text of the answer's body, empty for a refusal
      * @param excused true if the connection or the process that served the caller died, so that it was told nothing
      */
-    public record Told(String request, Outcome outcome, String answer, boolean excused) {}
+    public record Told(String request, Outcome outcome, String answer, boolean excused) implements Event {}
 
     /**
-     * Adds a sending.
+     * Adds an event.
      *
-     * @param s the sending
-     */
-    public synchronized void add(Sent s) {
-        sent.add(s);
-    }
-
-    /**
-     * Adds an execution.
-     *
-     * @param e the execution
-     */
-    public synchronized void add(Execution e) {
-        executions.add(e);
-    }
-
-    /**
-     * Adds what a caller was told.
-     *
-     * @param t outcome and answer
-     */
-    public synchronized void add(Told t) {
-        told.add(t);
-    }
-
-    /**
-     * Gives the sendings.
-     *
-     * @return a copy in order
+     * @param e what happened
      */
-    public synchronized List<Sent> sent() {
-        return List.copyOf(sent);
+    public synchronized void add(Event e) {
+        events.add(e);
     }
 
     /**
-     * Gives the executions.
+     * Gives all events.
      *
      * @return a copy in order
      */
-    public synchronized List<Execution> executions() {
-        return List.copyOf(executions);
+    public synchronized List<Event> events() {
+        return List.copyOf(events);
     }
 
     /**
-     * Gives what callers were told.
+     * Gives the events of one kind.
      *
+     * @param <E> the kind
+     * @param kind its class
      * @return a copy in order
      */
-    public synchronized List<Told> told() {
-        return List.copyOf(told);
+    public <E extends Event> List<E> events(Class<E> kind) {
+        return events().stream().filter(kind::isInstance).map(kind::cast).toList();
     }
 }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/HistoryChecker.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/HistoryChecker.java
@@ -1,10 +1,10 @@
 package org.lycheetray.measure.once;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.lycheetray.core.model.Outcome;
 
@@ -48,47 +48,75 @@
      * @return what was found
      */
     public static Findings check(History h) {
-        Map<String, List<History.Execution>> runs =
-                h.executions().stream().collect(Collectors.groupingBy(History.Execution::key));
-        Set<String> runRequests =
-                h.executions().stream().map(History.Execution::request).collect(Collectors.toSet());
-        Map<String, History.Sent> sent = new HashMap<>();
-        h.sent().forEach(s -> sent.put(s.request(), s));
-        Set<String> told = new HashSet<>();
-        Set<String> keysToldMore = keysToldMore(h, sent);
-        int falseNotRun = 0;
-        int besideRun = 0;
-        int wrong = 0;
-        for (History.Told t : h.told()) {
+        return new Checking(h).findings();
+    }
+
+    /** One pass over a history. */
+    private static final class Checking {
+        private final History history;
+        private final Map<String, List<History.Execution>> runs;
+        private final Set<String> runRequests;
+        private final Map<String, History.Sent> sent;
+        private final Set<String> keysToldMore;
+        private final Set<String> keysRunSoFar = new HashSet<>();
+        private final Set<String> told = new HashSet<>();
+        private int falseNotRun;
+        private int notRunBesideRun;
+        private int wrongAnswers;
+        private int unknown;
+
+        Checking(History h) {
+            history = h;
+            List<History.Execution> all = h.events(History.Execution.class);
+            runs = all.stream().collect(Collectors.groupingBy(History.Execution::key));
+            runRequests = all.stream().map(History.Execution::request).collect(Collectors.toSet());
+            sent = h.events(History.Sent.class).stream()
+                    .collect(Collectors.toMap(History.Sent::request, Function.identity()));
+            keysToldMore = h.events(History.Told.class).stream()
+                    .filter(t -> t.excused() || t.outcome() != Outcome.NOT_RUN)
+                    .map(t -> sent.get(t.request()).key())
+                    .collect(Collectors.toSet());
+        }
+
+        Findings findings() {
+            for (History.Event e : history.events()) {
+                switch (e) {
+                    case History.Sent s -> {}
+                    case History.Execution x -> keysRunSoFar.add(x.key());
+                    case History.Told t -> judge(t, sent.get(t.request()));
+                }
+            }
+            int doubleRuns =
+                    (int) runs.values().stream().filter(r -> r.size() > 1).count();
+            int untold = sent.size() - told.size();
+            return new Findings(doubleRuns, falseNotRun, wrongAnswers, untold, unknown, notRunBesideRun, sent.size());
+        }
+
+        private void judge(History.Told t, History.Sent s) {
             told.add(t.request());
-            History.Sent s = sent.get(t.request());
-            boolean keyRan = runs.containsKey(s.key());
-            boolean notRun = !t.excused() && t.outcome() == Outcome.NOT_RUN;
-            boolean isFalse = runRequests.contains(t.request()) || (keyRan && !keysToldMore.contains(s.key()));
-            falseNotRun += notRun && isFalse ? 1 : 0;
-            besideRun += notRun && !isFalse && keyRan ? 1 : 0;
-            wrong += isWrong(t, s, runs.getOrDefault(s.key(), List.of()), sent) ? 1 : 0;
+            if (t.excused()) {
+                return;
+            }
+            switch (t.outcome()) {
+                case ANSWERED -> wrongAnswers += isWrong(t, s) ? 1 : 0;
+                case UNKNOWN -> unknown++;
+                case NOT_RUN -> judgeNotRun(t, s);
+            }
         }
-        int doubleRuns = (int) runs.values().stream().filter(r -> r.size() > 1).count();
-        int unknown = (int) h.told().stream()
-                .filter(t -> !t.excused() && t.outcome() == Outcome.UNKNOWN)
-                .count();
-        return new Findings(doubleRuns, falseNotRun, wrong, sent.size() - told.size(), unknown, besideRun, sent.size());
-    }
 
-    private static Set<String> keysToldMore(History h, Map<String, History.Sent> sent) {
-        return h.told().stream()
-                .filter(t -> t.excused() || t.outcome() != Outcome.NOT_RUN)
-                .map(t -> sent.get(t.request()).key())
-                .collect(Collectors.toSet());
-    }
+        private void judgeNotRun(History.Told t, History.Sent s) {
+            boolean othersDeny = runs.containsKey(s.key()) && !keysToldMore.contains(s.key());
+            if (runRequests.contains(t.request()) || othersDeny) {
+                falseNotRun++;
+            } else if (keysRunSoFar.contains(s.key())) {
+                notRunBesideRun++;
+            }
+        }
 
-    private static boolean isWrong(
-            History.Told t, History.Sent s, List<History.Execution> runs, Map<String, History.Sent> sent) {
-        return !t.excused()
-                && t.outcome() == Outcome.ANSWERED
-                && runs.stream()
-                        .filter(r -> sent.get(r.request()).content().equals(s.content()))
-                        .noneMatch(r -> r.answer().equals(t.answer()));
+        private boolean isWrong(History.Told t, History.Sent s) {
+            return runs.getOrDefault(s.key(), List.of()).stream()
+                    .filter(r -> sent.get(r.request()).content().equals(s.content()))
+                    .noneMatch(r -> r.answer().equals(t.answer()));
+        }
     }
 }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/OnceSimulation.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/OnceSimulation.java
@@ -29,7 +29,7 @@
     private static final double OTHER_CONTENT = 0.03;
     private static final double RESPONSE_LOST = 0.05;
     private static final double RESENT_AFTER_ANSWER = 0.1;
-    private static final Duration END = Duration.ofSeconds(120);
+    private static final Duration END = Duration.ofMinutes(2);
     private static final ClientAccountName ACCOUNT = new ClientAccountName("account");
 
     private final EventQueue queue = new EventQueue();
@@ -92,7 +92,7 @@
     }
 
     int runs() {
-        return history.executions().size();
+        return history.events(History.Execution.class).size();
     }
 
     /** Counts requests that were open on a VM as it died, or whose run lost its answer. */
