Daemon: claims in group commits, truthful attempts, health and quarantine in force

Cause: the thin path claimed each request in a write of its own, retried without a budget and knew no health. Change: GroupClaims drives ClaimTable, WatchedAttempts and ServerHealth judge servers, SuspectExchange passes poison suspects between VMs and through the table, ClaimCleanup raises the floor. FailurePoint replaces RefusalReason: one table classifies every failure.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimEntry.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimEntry.java
@@ -33,7 +33,6 @@
     Phase phase;
     AttemptResult result;
     long expectedRevision = RowChange.ABSENT;
-    MonotonicTime dispatchUntil;
 
     /** Content of the last write that left for the present attempt, null if none has. */
     ClaimRow submitted;
@@ -53,7 +52,6 @@
         phase = Phase.CLAIMING;
         result = null;
         submitted = null;
-        dispatchUntil = first.deadline();
     }
 
     void end(AttemptResult r) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimKey.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimKey.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
 import org.lycheetray.core.model.ClientAccountName;
@@ -15,10 +16,10 @@
  * the bucket of that time and can be deleted once the bucket has ended its horizon, since a key so old is refused. Any
  * other key says nothing about its age: its claim stands in the undated bucket and is never deleted.
  *
- * @param account account whose key came with the request
+ * @param account account whose key came with the request, empty on routes open to all
  * @param key value of the {@code Idempotency-Key} header
  */
-public record ClaimKey(ClientAccountName account, String key) {
+public record ClaimKey(Optional<ClientAccountName> account, String key) {
     /** Largest number of characters of an idempotency key. */
     public static final int MAX_LENGTH = 255;
 
@@ -31,6 +32,9 @@
     /** Prefix of the claims whose keys carry no time. */
     public static final String UNDATED_PREFIX = PREFIX + "undated/";
 
+    /** Stands for an account in rows of open routes; not a valid name of one. */
+    private static final String NO_ACCOUNT = "-";
+
     private static final int TIME_BASED_VERSION = 7;
     private static final int IETF_VARIANT = 2;
     private static final int TIME_SHIFT = 16;
@@ -83,6 +87,7 @@
     public RowKey row() {
         OptionalLong bucket = bucket();
         String prefix = bucket.isPresent() ? bucketPrefix(bucket.getAsLong()) : UNDATED_PREFIX;
-        return new RowKey(prefix + account + "/" + RequestDigest.hexOf(key));
+        return new RowKey(
+                prefix + account.map(ClientAccountName::value).orElse(NO_ACCOUNT) + "/" + RequestDigest.hexOf(key));
     }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimRowCodec.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimRowCodec.java
@@ -15,6 +15,8 @@
 public final class ClaimRowCodec {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final String NOT_RUN = "not-run";
+
     private ClaimRowCodec() {}
 
     /**
@@ -55,6 +57,42 @@
         }
     }
 
+    /**
+     * Writes the end of an attempt for another VM.
+     *
+     * @param result how it ended
+     * @return JSON text
+     */
+    public static String encodeResult(AttemptResult result) {
+        ObjectNode node = MAPPER.createObjectNode();
+        switch (result) {
+            case AttemptResult.Answered a -> encodeAnswer(node.putObject("answer"), a.answer());
+            case AttemptResult.NotRun n -> node.put("state", NOT_RUN);
+            case AttemptResult.Unknown u -> node.put("state", "unknown");
+        }
+        return node.toString();
+    }
+
+    /**
+     * Reads the end of an attempt.
+     *
+     * @param text JSON text from another VM
+     * @return how it ended; unknown if the text says nothing else
+     */
+    public static AttemptResult decodeResult(String text) {
+        try {
+            JsonNode node = MAPPER.readTree(text);
+            if (node.path("state").asText().equals(NOT_RUN)) {
+                return new AttemptResult.NotRun();
+            }
+            return decodeAnswer(node.path("answer"))
+                    .<AttemptResult>map(AttemptResult.Answered::new)
+                    .orElseGet(AttemptResult.Unknown::new);
+        } catch (JsonProcessingException e) {
+            return new AttemptResult.Unknown();
+        }
+    }
+
     private static void encodeAnswer(ObjectNode node, StoredAnswer answer) {
         node.put("status", answer.status());
         var headers = node.putArray("headers");
--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimTable.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/ClaimTable.java
@@ -67,7 +67,7 @@
             return join(e, r);
         }
         if (batcher.floor().isExpired(r.key())) {
-            return refuse(r, FailurePoint.IDEMPOTENCY_KEY_EXPIRED);
+            return refuse(r, FailurePoint.KEY_EXPIRED);
         }
         if (!now.isBefore(lastChance(r))) {
             return refuse(r, FailurePoint.CLAIM_NOT_IN_TIME);
@@ -85,20 +85,6 @@
         return tick(now);
     }
 
-    /**
-     * Tells at the moment of use whether an attempt may still be dispatched, a pause of the process included.
-     *
-     * @param attempt the attempt
-     * @param now present time, read after any suspension point
-     * @return false if the attempt's deadline has passed; it must then be reported as not run
-     */
-    public boolean mayDispatch(AttemptId attempt, MonotonicTime now) {
-        return find(attempt)
-                .filter(e -> e.phase == Phase.HELD)
-                .filter(e -> now.isBefore(e.dispatchUntil))
-                .isPresent();
-    }
-
     /**
      * Takes the end of an attempt that was allowed to run.
      *
@@ -262,7 +248,7 @@
         RequestDigest held =
                 e.waiting.isEmpty() ? e.content.digest() : e.waiting.getFirst().digest();
         if (!held.equals(r.digest()) && !(mayReplace && e.waiting.isEmpty())) {
-            return refuse(r, FailurePoint.IDEMPOTENCY_KEY_REUSED);
+            return refuse(r, FailurePoint.KEY_REUSED);
         }
         if (e.phase == Phase.RECORDING) {
             return List.of(new ClaimEffect.Decide(r.id(), verdictOf(e.result)));
@@ -303,8 +289,8 @@
     private void decideHeld(ClaimEntry e, List<ClaimEffect> effects) {
         if (e.phase == Phase.HELD) {
             ClaimRequest first = e.waiting.removeFirst();
-            e.dispatchUntil = first.deadline();
-            effects.add(new ClaimEffect.Decide(first.id(), new ClaimVerdict.Run(e.attempt)));
+            ClaimVerdict run = new ClaimVerdict.Run(e.attempt, first.deadline());
+            effects.add(new ClaimEffect.Decide(first.id(), run));
         }
     }
 
@@ -339,7 +325,7 @@
     }
 
     private void expired(ClaimEntry e, List<ClaimEffect> effects) {
-        decideAll(e, new ClaimVerdict.Refuse(FailurePoint.IDEMPOTENCY_KEY_EXPIRED), effects);
+        decideAll(e, new ClaimVerdict.Refuse(FailurePoint.KEY_EXPIRED), effects);
         forget(e);
     }
 
@@ -365,7 +351,7 @@
     private void yieldTo(
             ClaimEntry e, Row row, Optional<ClaimRow> content, MonotonicTime now, List<ClaimEffect> effects) {
         if (content.isEmpty()) {
-            refuseAll(e, FailurePoint.CLAIM_HELD, effects);
+            refuseAll(e, FailurePoint.EARLIER_ATTEMPT, effects);
             return;
         }
         ClaimRow other = content.get();
@@ -373,12 +359,12 @@
         if (other.state() == ClaimRow.State.RELEASED) {
             startAttempt(e, now);
         } else if (!other.digest().equals(e.content.digest())) {
-            refuseAll(e, FailurePoint.IDEMPOTENCY_KEY_REUSED, effects);
+            refuseAll(e, FailurePoint.KEY_REUSED, effects);
         } else if (other.state() == ClaimRow.State.ANSWERED) {
             decideAll(e, new ClaimVerdict.Repeat(other.answer().orElseThrow()), effects);
             forget(e);
         } else if (other.state() == ClaimRow.State.UNKNOWN) {
-            refuseAll(e, FailurePoint.CLAIM_HELD, effects);
+            refuseAll(e, FailurePoint.EARLIER_ATTEMPT, effects);
         } else {
             resolveHolder(e, other.attempt(), now, effects);
         }
@@ -388,7 +374,7 @@
         if (holder.holder().equals(self)) {
             startAttempt(e, now);
         } else if (holder.holder().vm().equals(self.vm())) {
-            refuseAll(e, FailurePoint.CLAIM_HELD, effects);
+            refuseAll(e, FailurePoint.EARLIER_ATTEMPT, effects);
         } else {
             e.phase = Phase.ASKING;
             asked.put(++lastQuestion, e);
@@ -402,7 +388,7 @@
             return false;
         }
         boolean neverRan = e.phase == Phase.CLAIMING || e.phase == Phase.RELEASING;
-        FailurePoint point = neverRan ? FailurePoint.CLAIM_NOT_IN_TIME : FailurePoint.CLAIM_HELD;
+        FailurePoint point = neverRan ? FailurePoint.CLAIM_NOT_IN_TIME : FailurePoint.EARLIER_ATTEMPT;
         effects.add(new ClaimEffect.Decide(r.id(), new ClaimVerdict.Refuse(point)));
         return true;
     }
@@ -465,7 +451,7 @@
         return switch (result) {
             case AttemptResult.Answered a -> new ClaimVerdict.Repeat(a.answer());
             case AttemptResult.NotRun n -> new ClaimVerdict.Refuse(FailurePoint.JOINED_NOT_RUN);
-            case AttemptResult.Unknown u -> new ClaimVerdict.Refuse(FailurePoint.CLAIM_HELD);
+            case AttemptResult.Unknown u -> new ClaimVerdict.Refuse(FailurePoint.EARLIER_ATTEMPT);
         };
     }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/RequestOutcome.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/RequestOutcome.java
@@ -59,6 +59,17 @@
         return mayTryAnother(point, point.proof() != FailurePoint.Proof.NONE);
     }
 
+    /**
+     * Takes back {@link #dispatched()}: the attempt ended while no byte of it had left this process.
+     *
+     * @param point where it failed
+     * @return true if another attempt is permitted
+     */
+    public boolean neverLeft(FailurePoint point) {
+        running = Math.max(0, running - 1);
+        return failedBeforeDispatch(point);
+    }
+
     /**
      * Notes the failure of an attempt that was dispatched.
      *
@@ -88,14 +99,14 @@
     }
 
     /**
-     * Gives the refusal that is true at present.
+     * Gives the outcome that a refusal may state at present.
      *
      * @param point where the request failed last
-     * @return the point with the outcome of the whole request
+     * @return {@link Outcome#NOT_RUN} only if that is proved of all attempts
      */
-    public Refusal refusal(FailurePoint point) {
+    public Outcome outcomeAt(FailurePoint point) {
         boolean unproved = point.proof() == FailurePoint.Proof.NONE || outcome() != Outcome.NOT_RUN;
-        return new Refusal(point, unproved ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+        return unproved ? Outcome.UNKNOWN : Outcome.NOT_RUN;
     }
 
     private boolean mayTryAnother(FailurePoint point, boolean proved) {
@@ -104,7 +115,7 @@
         }
         return switch (point.next()) {
             case REFUSE -> false;
-            case ANOTHER_OWNER, ANOTHER_SERVER -> routeClass != RouteClass.ONCE || (proved && unsettled == 0);
+            case ANOTHER_SERVER -> routeClass != RouteClass.ONCE || (proved && unsettled == 0);
             case ANOTHER_SERVER_IF_SAFE -> routeClass != RouteClass.ONCE;
         };
     }
--- a/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimDriver.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimDriver.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.model.RequestId;
@@ -18,7 +19,7 @@
 
 /** Drives one table of claims against rows in memory; several drivers may share the rows. */
 final class ClaimDriver {
-    static final ClientAccountName ACCOUNT = new ClientAccountName("olwyn");
+    static final Optional<ClientAccountName> ACCOUNT = Optional.of(new ClientAccountName("olwyn"));
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     final Map<RowKey, Row> rows;
--- a/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimTableTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/ClaimTableTest.java
@@ -42,8 +42,8 @@
     @Test
     void refusesOtherContentUnderTheSameKey() {
         a.running("r1", "k");
-        assertRefused(a.claim("r2", "k", "other"), "r2", FailurePoint.IDEMPOTENCY_KEY_REUSED);
-        assertRefused(b.claim("r3", "k", "other").store(), "r3", FailurePoint.IDEMPOTENCY_KEY_REUSED);
+        assertRefused(a.claim("r2", "k", "other"), "r2", FailurePoint.KEY_REUSED);
+        assertRefused(b.claim("r3", "k", "other").store(), "r3", FailurePoint.KEY_REUSED);
     }
 
     @Test
@@ -65,14 +65,14 @@
     void isUnknownWhenTheHolderDoesNotAnswer() {
         a.running("r1", "k");
         b.claim("r2", "k", "same").store().after(Duration.ofSeconds(3));
-        assertRefused(b, "r2", FailurePoint.CLAIM_HELD);
+        assertRefused(b, "r2", FailurePoint.EARLIER_ATTEMPT);
     }
 
     @Test
     void isUnknownAfterARestartOfTheHolder() {
         a.running("r1", "k");
         ClaimDriver successor = new ClaimDriver("vm-1", 2, a.rows);
-        assertRefused(successor.claim("r2", "k", "same").store(), "r2", FailurePoint.CLAIM_HELD);
+        assertRefused(successor.claim("r2", "k", "same").store(), "r2", FailurePoint.EARLIER_ATTEMPT);
     }
 
     @Test
@@ -122,9 +122,10 @@
 
     @Test
     void doesNotDispatchAfterAPausePastTheDeadline() {
-        AttemptId run = a.running("r1", "k");
-        assertThat(a.table.mayDispatch(run, a.now)).isTrue();
-        assertThat(a.table.mayDispatch(run, a.now.plus(Duration.ofSeconds(3)))).isFalse();
+        a.running("r1", "k");
+        ClaimVerdict.Run run = (ClaimVerdict.Run) a.verdicts.get("r1");
+        assertThat(run.mayDispatch(a.now)).isTrue();
+        assertThat(run.mayDispatch(a.now.plus(Duration.ofSeconds(3)))).isFalse();
     }
 
     @Test
@@ -146,7 +147,7 @@
     void refusesAKeyBelowTheFloorWhoeverRaisedIt() {
         a.rows.put(ClaimFloor.ROW, new Row(ClaimFloor.ROW, 1, "490000"));
         String old = "01234567-89ab-7000-8000-000000000000";
-        assertRefused(a.claim("r1", old, "x").store(), "r1", FailurePoint.IDEMPOTENCY_KEY_EXPIRED);
+        assertRefused(a.claim("r1", old, "x").store(), "r1", FailurePoint.KEY_EXPIRED);
     }
 
     private static void assertRefused(ClaimDriver d, String request, FailurePoint point) {
--- a/lycheetray-core/src/test/java/org/lycheetray/core/once/RequestOutcomeTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/once/RequestOutcomeTest.java
@@ -15,13 +15,13 @@
 
     @Test
     void isNotRunBeforeDispatch() {
-        assertThat(once.refusal(FailurePoint.NO_SLOT).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(once.outcomeAt(FailurePoint.NO_CAPACITY)).isEqualTo(Outcome.NOT_RUN);
     }
 
     @Test
     void isUnknownWhileDispatchedWhateverTheFailureClaims() {
         once.dispatched();
-        assertThat(once.refusal(FailurePoint.CONNECT_REFUSED).outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(once.outcomeAt(FailurePoint.BACKEND_UNREACHABLE)).isEqualTo(Outcome.UNKNOWN);
     }
 
     @Test
@@ -36,8 +36,8 @@
     @Test
     void nothingFollowsALostAnswerOfAOnceRequest() {
         once.dispatched();
-        assertThat(once.failedAfterDispatch(FailurePoint.CLOSED_BEFORE_ANSWER)).isFalse();
-        assertThat(once.failedBeforeDispatch(FailurePoint.CONNECT_REFUSED)).isFalse();
+        assertThat(once.failedAfterDispatch(FailurePoint.BACKEND_FAILED)).isFalse();
+        assertThat(once.failedBeforeDispatch(FailurePoint.BACKEND_UNREACHABLE)).isFalse();
         assertThatThrownBy(once::dispatched).isInstanceOf(IllegalStateException.class);
     }
 
@@ -45,11 +45,11 @@
     void aReadIsRetriedUntilAPartOfTheAnswerHasLeft() {
         RequestOutcome read = new RequestOutcome(RouteClass.READ);
         read.dispatched();
-        assertThat(read.failedAfterDispatch(FailurePoint.ANSWER_TRUNCATED)).isTrue();
+        assertThat(read.failedAfterDispatch(FailurePoint.BACKEND_FAILED)).isTrue();
         read.dispatched();
         read.passingOn();
-        assertThat(read.failedAfterDispatch(FailurePoint.ANSWER_TRUNCATED)).isFalse();
-        assertThat(read.refusal(FailurePoint.ANSWER_TRUNCATED).outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(read.failedAfterDispatch(FailurePoint.BACKEND_FAILED)).isFalse();
+        assertThat(read.outcomeAt(FailurePoint.BACKEND_FAILED)).isEqualTo(Outcome.UNKNOWN);
     }
 
     @Test
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -24,8 +24,7 @@
 import org.lycheetray.daemon.request.RequestGates;
 import org.lycheetray.daemon.request.RequestPipeline;
 import org.lycheetray.daemon.request.internal.BackendClient;
-import org.lycheetray.daemon.running.PassiveAttempts;
-import org.lycheetray.daemon.running.TableClaims;
+import org.lycheetray.daemon.running.Running;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
@@ -57,15 +56,18 @@
         ConfigPoller poller = closer.add("config", new ConfigPoller(platform, control, clock));
         this.config = poller;
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
         RequestGates gates = new RequestGates(
                 poller,
                 new StaticAdmission(control, clock),
-                new TableClaims(platform.tables()),
-                new LocalSlots(control, settings.dataCentre()),
-                new PassiveAttempts());
+                running.claims(),
+                new LocalSlots(control, settings.dataCentre(), running.health()),
+                running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
+        status.section("running", running::describe);
+        running.measure(metrics);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
@@ -7,6 +7,7 @@
 import org.lycheetray.core.model.ConfigVersion;
 import org.lycheetray.core.model.Outcome;
 import org.lycheetray.core.model.RequestId;
+import org.lycheetray.core.once.FailurePoint;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.config.ActiveConfig;
 import org.lycheetray.daemon.http.HttpFrontParts;
@@ -14,7 +15,6 @@
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.request.FinishedRequest;
 import org.lycheetray.daemon.request.Refusal;
-import org.lycheetray.daemon.request.RefusalReason;
 import org.lycheetray.daemon.request.RequestContext;
 import org.lycheetray.daemon.request.RequestHead;
 import org.lycheetray.daemon.request.Response;
@@ -85,7 +85,7 @@
 
     private Mono<Response> respond(HttpServerRequest req, Call call) {
         if (parts.lifecycle().phase().compareTo(Phase.DRAINING) >= 0) {
-            return refuse(Refusal.of(RefusalReason.LEAVING, "this VM is leaving; ask another one"));
+            return refuse(Refusal.of(FailurePoint.LEAVING, "this VM is leaving; ask another one"));
         }
         return parts.pipeline().prepare(call.head).fold(RequestEndpoint::refuse, context -> {
             call.context = Optional.of(context);
@@ -101,8 +101,8 @@
 
     private static Mono<Response> tooLarge(BodyReader.TooLargeException e) {
         return e.isAlone()
-                ? refuse(Refusal.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than the manifest allows"))
-                : refuse(Refusal.of(RefusalReason.NO_CAPACITY, "this VM holds too many request bodies"));
+                ? refuse(Refusal.of(FailurePoint.BODY_TOO_LARGE, "the body is larger than the manifest allows"))
+                : refuse(Refusal.of(FailurePoint.NO_CAPACITY, "this VM holds too many request bodies"));
     }
 
     private static Response failed(Call call, Throwable e) {
@@ -111,7 +111,7 @@
                 .with("step", "pipeline")
                 .with("cause", e)
                 .error();
-        return Response.refused(Refusal.of(RefusalReason.INTERNAL, "internal error"), Optional.empty());
+        return Response.refused(Refusal.of(FailurePoint.INTERNAL, "internal error"), Optional.empty());
     }
 
     private String ownRegion(Call call) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/AttemptGate.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/AttemptGate.java
@@ -1,7 +1,9 @@
 package org.lycheetray.daemon.request;
 
 import java.util.Optional;
+import java.util.Set;
 import org.lycheetray.core.model.BackendServer;
+import org.lycheetray.core.model.BackendServerName;
 
 /** Watches attempts and decides what may be tried again. */
 public interface AttemptGate {
@@ -15,12 +17,22 @@
     Optional<Refusal> check(RequestContext request, String digest);
 
     /**
-     * Takes part of the client account's retry budget.
+     * Takes part of the client account's retry budget, unless nothing reached a backend server.
      *
      * @param request the request
+     * @param last how the last attempt ended
      * @return true if another attempt is within the budget
      */
-    boolean mayRetry(RequestContext request);
+    boolean mayRetry(RequestContext request, AttemptResult last);
+
+    /**
+     * Gives the servers on which the request must not run at present, because it and another request there are both
+     * suspected of crashing servers.
+     *
+     * @param digest identity of its content
+     * @return the servers to avoid, mostly none
+     */
+    Set<BackendServerName> avoid(String digest);
 
     /**
      * Notes that an attempt begins.
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/Refusal.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/Refusal.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.lycheetray.core.once.FailurePoint;
 
 /**
  * A truthful refusal.
@@ -10,7 +11,7 @@
  * @param detail sentence for the caller, without secrets
  * @param retryAfter time after which a retry makes sense, or empty
  */
-public record Refusal(RefusalReason reason, String detail, Optional<Duration> retryAfter) {
+public record Refusal(FailurePoint reason, String detail, Optional<Duration> retryAfter) {
     /**
      * Creates a refusal after which an immediate retry makes no sense.
      *
@@ -18,7 +19,7 @@
      * @param detail sentence for the caller
      * @return the refusal
      */
-    public static Refusal of(RefusalReason reason, String detail) {
+    public static Refusal of(FailurePoint reason, String detail) {
         return new Refusal(reason, detail, Optional.empty());
     }
 
@@ -30,7 +31,7 @@
      * @param after time after which a retry makes sense
      * @return the refusal
      */
-    public static Refusal retry(RefusalReason reason, String detail, Duration after) {
+    public static Refusal retry(FailurePoint reason, String detail, Duration after) {
         return new Refusal(reason, detail, Optional.of(after));
     }
 }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/RequestPipeline.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/RequestPipeline.java
@@ -9,6 +9,7 @@
 import org.lycheetray.core.model.KeyHash;
 import org.lycheetray.core.model.Route;
 import org.lycheetray.core.model.RouteClass;
+import org.lycheetray.core.once.FailurePoint;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.config.ActiveConfig;
 import org.lycheetray.daemon.request.internal.AttemptLoop;
@@ -49,12 +50,12 @@
     public Either<Refusal, RequestContext> prepare(RequestHead head) {
         Optional<ActiveConfig> config = gates.config().active();
         if (config.isEmpty()) {
-            return refuse(RefusalReason.NOT_CONFIGURED, "this VM has not learnt a configuration yet");
+            return refuse(FailurePoint.NOT_CONFIGURED, "this VM has not learnt a configuration yet");
         }
         String host = head.headers().get(HttpHeaderNames.HOST, "");
         Optional<Route> route = config.get().routes().find(host, head.path());
         if (route.isEmpty()) {
-            return refuse(RefusalReason.UNKNOWN_ROUTE, "no route for " + head.path());
+            return refuse(FailurePoint.UNKNOWN_ROUTE, "no route for " + head.path());
         }
         return authenticate(head, route.get()).flatMap(account -> context(head, config.get(), route.get(), account));
     }
@@ -80,7 +81,7 @@
             case AdmissionGate.Decision.OverRate o ->
                 Mono.just(Response.refused(
                         Refusal.retry(
-                                RefusalReason.OVER_RATE,
+                                FailurePoint.OVER_RATE,
                                 "the client account is over its rate and burst",
                                 o.retryAfter()),
                         Optional.of(o.limits())));
@@ -117,17 +118,17 @@
         }
         Optional<String> key = key(head.headers());
         if (key.isEmpty()) {
-            return refuse(RefusalReason.NO_KEY, "this route needs an Authorization header: Bearer KEY");
+            return refuse(FailurePoint.NO_KEY, "this route needs an Authorization header: Bearer KEY");
         }
         if (head.uri().contains(key.get())) {
-            return refuse(RefusalReason.KEY_EXPOSED, "the key must not stand in the URL");
+            return refuse(FailurePoint.KEY_EXPOSED, "the key must not stand in the URL");
         }
         if (!gates.config().serves(route.routeClass())) {
-            return refuse(RefusalReason.STALE_CONFIG, "this VM cannot check keys while it is cut off");
+            return refuse(FailurePoint.STALE_CONFIG, "this VM cannot check keys while it is cut off");
         }
         Optional<ClientAccountName> account = gates.config().account(KeyHash.of(key.get()));
         if (account.isEmpty()) {
-            return refuse(RefusalReason.UNKNOWN_KEY, "the key is not valid");
+            return refuse(FailurePoint.UNKNOWN_KEY, "the key is not valid");
         }
         return Either.right(account);
     }
@@ -150,13 +151,13 @@
             RequestHead head, ActiveConfig config, Route route, Optional<ClientAccountName> account) {
         Optional<String> idempotencyKey = Optional.ofNullable(head.headers().get(HeaderUtil.IDEMPOTENCY_KEY));
         if (route.routeClass() == RouteClass.ONCE && idempotencyKey.isEmpty()) {
-            return refuse(RefusalReason.NO_IDEMPOTENCY_KEY, "this route needs an Idempotency-Key header");
+            return refuse(FailurePoint.NO_IDEMPOTENCY_KEY, "this route needs an Idempotency-Key header");
         }
         if (idempotencyKey
                 .filter(k -> k.isBlank() || k.length() > MAX_IDEMPOTENCY_KEY)
                 .isPresent()) {
             return refuse(
-                    RefusalReason.BAD_HEADER, "an Idempotency-Key has 1 to " + MAX_IDEMPOTENCY_KEY + " characters");
+                    FailurePoint.BAD_HEADER, "an Idempotency-Key has 1 to " + MAX_IDEMPOTENCY_KEY + " characters");
         }
         Duration timeout = config.service(route.service()).timeout();
         return wanted(head.headers(), timeout)
@@ -186,10 +187,10 @@
     }
 
     private static Either<Refusal, Duration> badDeadline() {
-        return refuse(RefusalReason.BAD_HEADER, HeaderUtil.DEADLINE_MS + " is a positive number of milliseconds");
+        return refuse(FailurePoint.BAD_HEADER, HeaderUtil.DEADLINE_MS + " is a positive number of milliseconds");
     }
 
-    private static <T> Either<Refusal, T> refuse(RefusalReason reason, String detail) {
+    private static <T> Either<Refusal, T> refuse(FailurePoint reason, String detail) {
         return Either.left(Refusal.of(reason, detail));
     }
 }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
@@ -9,14 +9,16 @@
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.Outcome;
 import org.lycheetray.core.model.RouteClass;
+import org.lycheetray.core.once.FailurePoint;
+import org.lycheetray.core.once.RequestOutcome;
 import org.lycheetray.core.time.Clock;
+import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.request.Answer;
 import org.lycheetray.daemon.request.AttemptResult;
 import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.ClaimGate;
 import org.lycheetray.daemon.request.RateLimits;
 import org.lycheetray.daemon.request.Refusal;
-import org.lycheetray.daemon.request.RefusalReason;
 import org.lycheetray.daemon.request.RequestContext;
 import org.lycheetray.daemon.request.RequestGates;
 import org.lycheetray.daemon.request.RequestPipeline;
@@ -56,10 +58,10 @@
         private final Optional<RateLimits> limits;
         private final Optional<ClaimGate.Claim> claim;
         private final Set<BackendServerName> tried = new HashSet<>();
+        private final RequestOutcome outcome;
         private BackendServer server;
         private String reason = "";
         private int attempts;
-        private boolean mayHaveRun;
 
         Run(
                 RequestContext request,
@@ -72,6 +74,7 @@
             this.digest = digest;
             this.limits = limits;
             this.claim = claim;
+            this.outcome = new RequestOutcome(request.route().routeClass());
             String key = RequestPipeline.key(request.head().headers()).orElse("");
             this.headers = HeaderUtil.forBackend(request.head().headers(), key);
         }
@@ -93,18 +96,31 @@
             String digest,
             Optional<RateLimits> limits,
             Optional<ClaimGate.Claim> claim) {
-        return next(new Run(request, body, digest, limits, claim));
+        Run run = new Run(request, body, digest, limits, claim);
+        return next(run).onErrorResume(e -> broken(run, e));
+    }
+
+    private static Mono<Response> broken(Run run, Throwable e) {
+        LogEvent.of("attempt-broken")
+                .with("request", run.request.id())
+                .with("step", "attempt-loop")
+                .with("cause", e)
+                .error();
+        AttemptResult result = new AttemptResult.Uncertain("attempt-loop", "internal error", false);
+        return finish(run, result, refused(FailurePoint.INTERNAL, "internal error"));
     }
 
     private Mono<Response> next(Run run) {
-        return gates.slots().acquire(run.request, Set.copyOf(run.tried)).flatMap(d -> switch (d) {
+        Set<BackendServerName> avoided = new HashSet<>(run.tried);
+        avoided.addAll(gates.attempts().avoid(run.digest));
+        return gates.slots().acquire(run.request, avoided).flatMap(d -> switch (d) {
             case SlotGate.Decision.Granted g -> attempt(run, g.slot());
             case SlotGate.Decision.Refused r -> noSlot(run, r);
         });
     }
 
     private Mono<Response> noSlot(Run run, SlotGate.Decision.Refused r) {
-        Refusal refusal = new Refusal(RefusalReason.NO_CAPACITY, r.detail(), r.retryAfter());
+        Refusal refusal = new Refusal(FailurePoint.NO_CAPACITY, r.detail(), r.retryAfter());
         AttemptResult result = new AttemptResult.NotRun("acquire-slot", r.detail(), true);
         return finish(run, result, new Response.Content.Refused(refusal));
     }
@@ -117,8 +133,10 @@
         if (!run.claim.map(ClaimGate.Claim::mayDispatch).orElse(true)) {
             AttemptResult lapsed = new AttemptResult.NotRun("check-claim", "the claim lapsed before the start", false);
             slot.release(lapsed);
-            return finish(run, lapsed, refused(RefusalReason.CLAIM_UNAVAILABLE, "the claim lapsed before the start"));
+            return finish(
+                    run, lapsed, refused(FailurePoint.DEADLINE_BEFORE_DISPATCH, "the claim lapsed before the start"));
         }
+        run.outcome.dispatched();
         gates.attempts().started(slot.server(), run.request, run.digest);
         return client.attempt(slot.server(), run.request, run.headers, run.body)
                 .doOnCancel(
@@ -133,7 +151,6 @@
             Flux<ByteBuf> content = s.content().doFinally(signal -> ended(run, slot, result));
             return new AttemptResult.Answered(new Answer.Streamed(s.status(), s.headers(), content));
         }
-        run.mayHaveRun |= result instanceof AttemptResult.Uncertain;
         ended(run, slot, result);
         return result;
     }
@@ -145,33 +162,55 @@
 
     private Mono<Response> decide(Run run, AttemptResult result) {
         return switch (result) {
-            case AttemptResult.Answered a -> finish(run, a, new Response.Content.Answered(a.answer()));
-            case AttemptResult.NotRun n ->
-                mayRetry(run)
-                        ? next(run)
-                        : finish(run, n, refused(RefusalReason.BACKEND_UNREACHABLE, n.step() + ": " + n.detail()));
-            case AttemptResult.Uncertain u ->
-                isIdempotent(run.request) && mayRetry(run) ? next(run) : finish(run, u, lost(u));
+            case AttemptResult.Answered a -> {
+                run.outcome.answered();
+                yield finish(run, a, new Response.Content.Answered(a.answer()));
+            }
+            case AttemptResult.NotRun n -> {
+                FailurePoint point = pointOf(n);
+                boolean permitted = n.shed() ? run.outcome.failedAfterDispatch(point) : run.outcome.neverLeft(point);
+                yield failed(run, n, point, permitted, n.step() + ": " + n.detail());
+            }
+            case AttemptResult.Uncertain u -> {
+                FailurePoint point = pointOf(u);
+                boolean permitted = run.outcome.failedAfterDispatch(point) && isIdempotent(run.request);
+                yield failed(run, u, point, permitted, u.step() + ": no whole answer came");
+            }
         };
     }
 
-    private static Response.Content lost(AttemptResult.Uncertain u) {
-        RefusalReason reason = u.timedOut() ? RefusalReason.DEADLINE : RefusalReason.BACKEND_FAILED;
-        return refused(reason, u.step() + ": no whole answer came");
+    private Mono<Response> failed(Run run, AttemptResult result, FailurePoint point, boolean permitted, String detail) {
+        return permitted && mayRetry(run, result) ? next(run) : finish(run, result, refused(point, detail));
+    }
+
+    private static FailurePoint pointOf(AttemptResult.NotRun n) {
+        if (n.shed()) {
+            return FailurePoint.SHED;
+        }
+        return n.step().equals(BackendClient.BEFORE_SEND)
+                ? FailurePoint.DEADLINE_BEFORE_DISPATCH
+                : FailurePoint.BACKEND_UNREACHABLE;
+    }
+
+    private static FailurePoint pointOf(AttemptResult.Uncertain u) {
+        if (u.timedOut()) {
+            return FailurePoint.DEADLINE;
+        }
+        return u.step().equals(BackendClient.MATCH_ANSWER) ? FailurePoint.ANSWER_INVALID : FailurePoint.BACKEND_FAILED;
     }
 
-    private boolean mayRetry(Run run) {
+    private boolean mayRetry(Run run, AttemptResult last) {
         return run.attempts < MAX_ATTEMPTS
                 && clock.monotonic().isBefore(run.request.deadline())
-                && gates.attempts().mayRetry(run.request);
+                && gates.attempts().mayRetry(run.request, last);
     }
 
-    /** A refusal says not run only if none of the attempts may have run. */
+    /** A refusal says not run only if that is proved of all attempts. */
     private static Response.Content truthful(Run run, Response.Content content) {
         boolean promises = content instanceof Response.Content.Refused(Refusal r)
                 && r.reason().outcome() == Outcome.NOT_RUN;
-        return promises && run.mayHaveRun
-                ? refused(RefusalReason.BACKEND_FAILED, "an earlier attempt may have run")
+        return promises && run.outcome.outcome() != Outcome.NOT_RUN
+                ? refused(FailurePoint.BACKEND_FAILED, "an earlier attempt may have run")
                 : content;
     }
 
@@ -181,7 +220,7 @@
         return c == RouteClass.READ || (c == RouteClass.QUEUE && safeMethod);
     }
 
-    private static Response.Content refused(RefusalReason reason, String detail) {
+    private static Response.Content refused(FailurePoint reason, String detail) {
         return new Response.Content.Refused(Refusal.of(reason, detail));
     }
 
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
@@ -40,6 +40,12 @@
     /** Largest answer to a {@code once} request that is held whole, in bytes. */
     public static final int HELD_ONCE_ANSWER_BYTES = 1024 * 1024;
 
+    /** Step of an attempt whose deadline passed before anything was sent. */
+    static final String BEFORE_SEND = "before-send";
+
+    /** Step of an attempt whose answer names another request. */
+    static final String MATCH_ANSWER = "match-answer";
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
     private static final int CONNECTIONS_PER_SERVER = 32;
@@ -76,7 +82,7 @@
     public Mono<AttemptResult> attempt(BackendServer server, RequestContext request, HttpHeaders headers, Body body) {
         Duration left = request.deadline().since(clock.monotonic());
         if (left.isNegative() || left.isZero()) {
-            return Mono.just(new AttemptResult.NotRun("before-send", "deadline passed", false));
+            return Mono.just(new AttemptResult.NotRun(BEFORE_SEND, "deadline passed", false));
         }
         AtomicBoolean sent = new AtomicBoolean();
         return client(server.endpoint())
@@ -122,7 +128,7 @@
         String echoed = res.responseHeaders().get(HeaderUtil.REQUEST_ID);
         if (echoed != null && !echoed.equals(request.id().value())) {
             c.dispose();
-            return Mono.just(new AttemptResult.Uncertain("match-answer", "answer to another request", false));
+            return Mono.just(new AttemptResult.Uncertain(MATCH_ANSWER, "answer to another request", false));
         }
         if (status == STATUS_UNAVAILABLE && res.responseHeaders().contains(HeaderUtil.NOT_RUN)) {
             return c.inbound()
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/LocalSlots.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/LocalSlots.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.lycheetray.core.health.UsableServer;
 import org.lycheetray.core.model.BackendServer;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.DataCentreName;
@@ -14,6 +15,7 @@
 import org.lycheetray.daemon.request.AttemptResult;
 import org.lycheetray.daemon.request.RequestContext;
 import org.lycheetray.daemon.request.SlotGate;
+import org.lycheetray.daemon.running.ServerHealth;
 import reactor.core.publisher.Mono;
 
 /** Counts only this VM's own requests and prefers backend servers of its own data centre. */
@@ -22,6 +24,7 @@
 
     private final ControlThread control;
     private final DataCentreName own;
+    private final ServerHealth health;
     private final Map<BackendServerName, Integer> used = new HashMap<>();
 
     /**
@@ -29,8 +32,10 @@
      *
      * @param control owns the counts
      * @param own data centre of this VM
+     * @param health tells which servers get new work
      */
-    public LocalSlots(ControlThread control, DataCentreName own) {
+    public LocalSlots(ControlThread control, DataCentreName own, ServerHealth health) {
+        this.health = health;
         this.control = control;
         this.own = own;
     }
@@ -43,7 +48,7 @@
     private Decision decide(RequestContext request, Set<BackendServerName> tried) {
         Optional<BackendServer> server = request.config().manifest().backendServers().stream()
                 .filter(s -> s.service().equals(request.route().service()))
-                .filter(s -> !tried.contains(s.name()) && count(s) < s.slots())
+                .filter(s -> !tried.contains(s.name()) && count(s) < slots(s))
                 .min(Comparator.<BackendServer>comparingInt(s -> s.dataCentre().equals(own) ? 0 : 1)
                         .thenComparingInt(this::count));
         if (server.isEmpty()) {
@@ -53,6 +58,10 @@
         return new Decision.Granted(new LocalSlot(server.get()));
     }
 
+    private int slots(BackendServer s) {
+        return health.usable(s.name()).map(UsableServer::slots).orElse(0);
+    }
+
     private int count(BackendServer s) {
         return used.getOrDefault(s.name(), 0);
     }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/GroupCommitRun.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/GroupCommitRun.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
@@ -68,7 +69,7 @@
         RequestId id = new RequestId("request-" + ++sent);
         ClaimRequest request = new ClaimRequest(
                 id,
-                new ClaimKey(new ClientAccountName("account"), id.value()),
+                new ClaimKey(Optional.of(new ClientAccountName("account")), id.value()),
                 RequestDigest.of("POST", "host", "/", new byte[0]),
                 queue.now().plus(DEADLINE),
                 Instant.EPOCH);
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/OnceSimulation.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/OnceSimulation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
@@ -144,7 +145,7 @@
         history.add(sent);
         ClaimRequest request = new ClaimRequest(
                 new RequestId(id),
-                new ClaimKey(ACCOUNT, key),
+                new ClaimKey(Optional.of(ACCOUNT), key),
                 RequestDigest.of("POST", "host", content, new byte[0]),
                 queue.now().plus(SimulatedVm.TIMEOUT),
                 SimulatedVm.received(queue.now()));
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/SimulatedServer.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/SimulatedServer.java
@@ -63,7 +63,7 @@
 
     private void arrive(String request, String key, Consumer<Reply> reply) {
         if (!up) {
-            lose(FailurePoint.CLOSED_BEFORE_ANSWER, reply);
+            lose(FailurePoint.BACKEND_FAILED, reply);
             return;
         }
         String text = key + "/run-" + ++runs + "-of-" + name;
@@ -74,9 +74,9 @@
 
     private void finish(String text, int started, Consumer<Reply> reply) {
         if (life != started) {
-            lose(FailurePoint.CLOSED_BEFORE_ANSWER, reply);
+            lose(FailurePoint.BACKEND_FAILED, reply);
         } else if (random.nextDouble() < plan.answerCut()) {
-            lose(FailurePoint.ANSWER_TRUNCATED, reply);
+            lose(FailurePoint.BACKEND_FAILED, reply);
         } else {
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
             reply(reply, new Reply.Whole(new StoredAnswer(CREATED, List.of(), StoredAnswer.Body.Inline.of(body))));
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/once/SimulatedVm.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/once/SimulatedVm.java
@@ -43,7 +43,7 @@
         final ClaimRequest request;
         final Consumer<History.Told> tell;
         final RequestOutcome outcome = new RequestOutcome(RouteClass.ONCE);
-        AttemptId attempt;
+        ClaimVerdict.Run run;
         int serversTried;
 
         Call(ClaimRequest request, Consumer<History.Told> tell) {
@@ -118,7 +118,7 @@
     }
 
     final void dispatch(Call call) {
-        if (!claims.mayDispatch(call.attempt, now())) {
+        if (!call.run.mayDispatch(now())) {
             fail(call, FailurePoint.DEADLINE_BEFORE_DISPATCH);
             return;
         }
@@ -128,10 +128,10 @@
     final void send(Call call) {
         SimulatedServer server = world.pickServer();
         if (!server.isUp()) {
-            if (call.outcome.failedBeforeDispatch(FailurePoint.CONNECT_REFUSED)) {
-                tryAnother(call, FailurePoint.CONNECT_REFUSED);
+            if (call.outcome.failedBeforeDispatch(FailurePoint.BACKEND_UNREACHABLE)) {
+                tryAnother(call, FailurePoint.BACKEND_UNREACHABLE);
             } else {
-                fail(call, FailurePoint.CONNECT_REFUSED);
+                fail(call, FailurePoint.BACKEND_UNREACHABLE);
             }
             return;
         }
@@ -141,7 +141,7 @@
                 call.request.key().key(),
                 r -> deliver(Duration.ZERO, () -> replied(call, r)));
         MonotonicTime deadline = call.request.deadline();
-        deliver(deadline.since(now()), () -> fail(call, FailurePoint.ANSWER_TIMEOUT));
+        deliver(deadline.since(now()), () -> fail(call, FailurePoint.DEADLINE));
     }
 
     private void replied(Call call, SimulatedServer.Reply reply) {
@@ -174,14 +174,14 @@
 
     private void fail(Call call, FailurePoint point) {
         if (calls.containsKey(call.request.id())) {
-            tell(call, call.outcome.refusal(point).outcome(), "");
+            tell(call, call.outcome.outcomeAt(point), "");
             end(call, endOf(call));
         }
     }
 
     private void end(Call call, AttemptResult result) {
-        if (call.attempt != null) {
-            carryOut(claims.ended(call.attempt, result, now()));
+        if (call.run != null) {
+            carryOut(claims.ended(call.run.attempt(), result, now()));
         }
     }
 
@@ -211,7 +211,7 @@
         }
         switch (verdict) {
             case ClaimVerdict.Run r -> {
-                call.attempt = r.attempt();
+                call.run = r;
                 deliver(Duration.ofMillis(world.random().nextLong(1, 20)), () -> dispatch(call));
             }
             case ClaimVerdict.Repeat r -> tellAnswer(call, r.answer());
--- a/lycheetray-measure/src/test/java/org/lycheetray/measure/once/OnceSimulationTest.java
+++ b/lycheetray-measure/src/test/java/org/lycheetray/measure/once/OnceSimulationTest.java
@@ -75,7 +75,7 @@
 
         @Override
         boolean mayTryAnother(Call call, FailurePoint point) {
-            return super.mayTryAnother(call, point) || point == FailurePoint.CLOSED_BEFORE_ANSWER;
+            return super.mayTryAnother(call, point) || point == FailurePoint.BACKEND_FAILED;
         }
     }
 
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -26,11 +26,33 @@
   2: string message
 }
 
+/** Asks the process that holds a claim what became of an attempt; answered when that is known. */
+struct ClaimQuestion {
+  1: string attempt
+}
+
+/** What became of an attempt, as the JSON text of claim rows. */
+struct ClaimAnswer {
+  1: string result
+}
+
+/** Requests that were in flight as backend servers crashed, as the JSON texts of their rows. */
+struct SuspectNews {
+  1: list<string> records
+}
+
+struct SuspectsNoted {
+}
+
 union Request {
+  20: ClaimQuestion claimQuestion
+  21: SuspectNews suspectNews
   1: Ping ping
 }
 
 union Reply {
+  20: ClaimAnswer claimAnswer
+  21: SuspectsNoted suspectsNoted
   1: Pong pong
   2: Failure failure
 }
