--- a/lycheetray-measure/src/test/java/org/lycheetray/measure/once/OnceSimulationTest.java
+++ b/lycheetray-measure/src/test/java/org/lycheetray/measure/once/OnceSimulationTest.java
@@ -7,6 +7,7 @@
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.once.AttemptId;
 import org.lycheetray.core.once.AttemptResult;
+import org.lycheetray.core.once.ClaimVerdict;
 import org.lycheetray.core.once.FailurePoint;
 import org.lycheetray.core.once.PeerQuestion;
 
@@ -64,7 +65,8 @@
 
         @Override
         void arrive(Call call) {
-            send(call);
+            call.run = new ClaimVerdict.Run(new AttemptId(self(), -1), call.request.deadline());
+            dispatch(call);
         }
     }
 
