--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -71,8 +71,7 @@
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
-        status.section("running", running::describe);
-        running.measure(metrics);
+        running.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -89,6 +88,10 @@
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
+        logStart(self, settings);
+    }
+
+    private static void logStart(Incarnation self, Settings settings) {
         LogEvent.of("started")
                 .with("vm", settings.vm())
                 .with("incarnation", self.number())
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/Running.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/Running.java
@@ -10,6 +10,7 @@
 import org.lycheetray.daemon.lifecycle.Closer;
 import org.lycheetray.daemon.metrics.FleetMetrics;
 import org.lycheetray.daemon.peer.PeerNetwork;
+import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.platform.PlatformClient;
 
 /** Everything on this VM that sees to it that a request runs at most once and on a server that can take it. */
@@ -83,22 +84,19 @@
     }
 
     /**
-     * Registers metrics.
+     * Registers metrics and the section of the status page.
      *
      * @param metrics the registry
+     * @param status the page
      */
-    public void measure(FleetMetrics metrics) {
+    public void expose(FleetMetrics metrics, StatusReport status) {
+        status.section("running", this::describe);
         metrics.gauge("lycheetray_retries_total", attempts::retries);
         metrics.gauge("lycheetray_claim_writes_total", claims::writes);
         metrics.gauge("lycheetray_claims_open", claims::open);
     }
 
-    /**
-     * Writes the section of the status page.
-     *
-     * @param node receives the section; called on the control thread
-     */
-    public void describe(ObjectNode node) {
+    private void describe(ObjectNode node) {
         node.put("claimsOpen", claims.open());
         node.put("claimWrites", claims.writes());
         node.put("retries", attempts.retries());
