--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -27,8 +27,7 @@
 import org.lycheetray.daemon.request.RequestObserver;
 import org.lycheetray.daemon.request.RequestPipeline;
 import org.lycheetray.daemon.request.internal.BackendClient;
-import org.lycheetray.daemon.running.PassiveAttempts;
-import org.lycheetray.daemon.running.TableClaims;
+import org.lycheetray.daemon.running.Running;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
@@ -62,16 +61,18 @@
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, agent, clock));
         RequestGates gates = new RequestGates(
                 agent,
                 new StaticAdmission(control, clock),
-                new TableClaims(platform.tables()),
-                new LocalSlots(control, settings.dataCentre()),
-                new PassiveAttempts());
+                running.claims(),
+                new LocalSlots(control, settings.dataCentre(), running.health()),
+                running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
         status.section("config", agent::describe);
+        running.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -88,7 +89,16 @@
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
-        logStarted(self, settings);
+        logStart(self, settings);
+    }
+
+    private static void logStart(Incarnation self, Settings settings) {
+        LogEvent.of("started")
+                .with("vm", settings.vm())
+                .with("incarnation", self.number())
+                .with("callers", settings.callers())
+                .with("peers", settings.peers())
+                .info();
     }
 
     /**
@@ -145,15 +155,6 @@
         stopped.countDown();
     }
 
-    private static void logStarted(Incarnation self, Settings settings) {
-        LogEvent.of("started")
-                .with("vm", settings.vm())
-                .with("incarnation", self.number())
-                .with("callers", settings.callers())
-                .with("peers", settings.peers())
-                .info();
-    }
-
     private void describe(Incarnation self, Settings settings, ObjectNode node) {
         node.put("vm", self.vm().value());
         node.put("incarnation", self.number());
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -63,17 +63,39 @@
   2: binary content
 }
 
+/** Asks the process that holds a claim what became of an attempt; answered when that is known. */
+struct ClaimQuestion {
+  1: string attempt
+}
+
+/** What became of an attempt, as the JSON text of claim rows. */
+struct ClaimAnswer {
+  1: string result
+}
+
+/** Requests that were in flight as backend servers crashed, as the JSON texts of their rows. */
+struct SuspectNews {
+  1: list<string> records
+}
+
+struct SuspectsNoted {
+}
+
 union Request {
+  20: ClaimQuestion claimQuestion
+  21: SuspectNews suspectNews
   1: Ping ping
-  20: ConfigProbe configProbe
-  21: ManifestRequest manifest
+  30: ConfigProbe configProbe
+  31: ManifestRequest manifest
 }
 
 union Reply {
+  20: ClaimAnswer claimAnswer
+  21: SuspectsNoted suspectsNoted
   1: Pong pong
   2: Failure failure
-  20: ConfigState configState
-  21: ManifestPart manifestPart
+  30: ConfigState configState
+  31: ManifestPart manifestPart
 }
 
 /** What a frame carries after the greeting: a request or the reply with the same correlation number. */
