--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,10 +2,11 @@
 
 import java.util.List;
 import org.lycheetray.measure.lookup.LookupMeasurement;
+import org.lycheetray.measure.routing.RoutingMeasurement;
 
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of(new LookupMeasurement());
+    private static final List<Measurement> MEASUREMENTS = List.of(new LookupMeasurement(), new RoutingMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
--- /dev/null
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Discrete-event runs of the routing decisions against other policies. */
+package org.lycheetray.measure.routing;
