Measurement of routing against other policies and under faults

Cause: owner, two choices and idle tokens had to be compared before one was adopted. Change: a discrete-event run of the decision classes for both deployments; plans count that a request from another region holds its slot longer.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/regions/RegionPlan.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/regions/RegionPlan.java
@@ -22,11 +22,14 @@
      *
      * @param home the region whose callers' requests are planned
      * @param conditions all regions
+     * @param remoteCost slots that a request from another region takes relative to one of the same region, at least 1:
+     *     its slot is held while the grant, the request, the answer and the release travel
      * @return part of the requests for each region, positive ones only; the sum is less than 1 if they fit nowhere
      */
-    public static Map<RegionName, Double> shares(RegionName home, Map<RegionName, RegionCondition> conditions) {
+    public static Map<RegionName, Double> shares(
+            RegionName home, Map<RegionName, RegionCondition> conditions, double remoteCost) {
         TreeMap<RegionName, Double> shares = new TreeMap<>();
-        double away = totalExcess(conditions);
+        double away = totalExcess(conditions) * remoteCost;
         double own = ownShare(conditions.get(home));
         if (own > 0) {
             shares.put(home, own);
--- a/lycheetray-core/src/main/java/org/lycheetray/core/slots/SlotSearch.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/slots/SlotSearch.java
@@ -22,6 +22,11 @@
     private boolean queued;
     private boolean ended;
 
+    @Override
+    public String toString() {
+        return "search for a slot in " + assigned;
+    }
+
     SlotSearch(SlotRouter router, RegionName assigned) {
         this.router = router;
         this.assigned = assigned;
--- a/lycheetray-core/src/test/java/org/lycheetray/core/regions/RegionPlanTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/regions/RegionPlanTest.java
@@ -22,21 +22,27 @@
 
     @Test
     void regionWithRoomKeepsItsOwn() {
-        assertThat(RegionPlan.shares(A, Map.of(A, open(80), B, open(10)))).isEqualTo(Map.of(A, 1.0));
+        assertThat(RegionPlan.shares(A, Map.of(A, open(80), B, open(10)), 1)).isEqualTo(Map.of(A, 1.0));
     }
 
     @Test
     void lostRegionLeavesOutWhatFitsNowhere() {
         var lost = new RegionCondition(RegionState.LOST, 100, 80);
-        assertThat(RegionPlan.shares(A, Map.of(A, lost, B, open(50)))).isEqualTo(Map.of(B, 0.5));
+        assertThat(RegionPlan.shares(A, Map.of(A, lost, B, open(50)), 1)).isEqualTo(Map.of(B, 0.5));
+    }
+
+    @Test
+    void requestsThatHoldTheirSlotLongerNeedMoreRoom() {
+        var drained = new RegionCondition(RegionState.DRAINING, 100, 80);
+        assertThat(RegionPlan.shares(A, Map.of(A, drained, B, open(50)), 2)).isEqualTo(Map.of(B, 0.25));
     }
 
     @Property(seed = "608", tries = 200)
     void plansOfAllRegionsTogetherOverloadNone(
             @ForAll @DoubleRange(min = 1, max = 200) double a, @ForAll @DoubleRange(min = 1, max = 200) double b) {
         Map<RegionName, RegionCondition> both = Map.of(A, open(a), B, open(b));
-        double load = a * RegionPlan.shares(A, both).getOrDefault(B, 0.0)
-                + b * RegionPlan.shares(B, both).getOrDefault(B, 0.0);
+        double load = a * RegionPlan.shares(A, both, 1).getOrDefault(B, 0.0)
+                + b * RegionPlan.shares(B, both, 1).getOrDefault(B, 0.0);
         assertThat(load).isLessThanOrEqualTo(90.001);
     }
 
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/Results.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/Results.java
@@ -14,6 +14,7 @@
     long refused;
     long refusedWithRoom;
     long offered;
+    long timedOut;
     private final World world;
     private final long intervalNanos;
     private final Map<Long, int[][]> served = new HashMap<>();
@@ -35,13 +36,17 @@
                 home][region]++;
     }
 
-    void refused(Call c) {
+    void refused(Call c, boolean hadRoom) {
         refused++;
-        refusedWithRoom += world.hasRoomFor(c.dataCentre()) ? 1 : 0;
+        refusedWithRoom += hadRoom ? 1 : 0;
         served.computeIfAbsent(c.enteredAt() / intervalNanos, i -> new int[Deployment.REGIONS][Deployment.REGIONS + 1])[
                 world.deployment.regionOf(c.dataCentre())][Deployment.REGIONS]++;
     }
 
+    void timedOut() {
+        timedOut++;
+    }
+
     double p(double percentile) {
         return latency.getValueAtPercentile(percentile) / 1e6;
     }
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/RoutingMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/RoutingMeasurement.java
@@ -59,6 +59,7 @@
     private static void common(String prefix, Results own, Figures figures) {
         figures.atMost(prefix + "shift-over-cap", Math.max(0, own.largestShift() - CAP_SHARE), "share", 0);
         figures.add(prefix + "largest-shift", own.largestShift(), "share");
+        figures.add(prefix + "timed-out", 100.0 * own.timedOut / own.offered, "percent");
         figures.add(prefix + "refused", 100.0 * own.refused / own.offered, "percent");
         figures.atMost(
                 prefix + "refused-while-room", 100.0 * own.refusedWithRoom / own.offered, "percent", REFUSED_BOUND);
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/SteeringPolicy.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/SteeringPolicy.java
@@ -126,6 +126,8 @@
     @Override
     public void worldChanged() {
         double capacity = world.regionSlots() / (RoutingRun.MEAN_SERVICE.toNanos() / 1e9);
+        double travel = 4.0 * world.deployment.betweenRegions().toNanos();
+        double remoteCost = 1 + travel / RoutingRun.MEAN_SERVICE.toNanos();
         int alive = Deployment.REGIONS - world.lost.size();
         Map<RegionName, RegionCondition> conditions = new TreeMap<>();
         for (int r = 0; r < Deployment.REGIONS; r++) {
@@ -135,7 +137,7 @@
             double demand = world.lost.contains(r) ? 0 : requestsPerSecond / alive;
             conditions.put(region(r), new RegionCondition(state, capacity, demand));
         }
-        vms.forEach(v -> v.limiter().aim(RegionPlan.shares(homeOf(v), conditions)));
+        vms.forEach(v -> v.limiter().aim(RegionPlan.shares(homeOf(v), conditions, remoteCost)));
     }
 
     private RegionName homeOf(VmRouter v) {
@@ -154,7 +156,7 @@
                 case SearchEffect.Ask a -> ask(c, search, open, a);
                 case SearchEffect.Withdraw w -> release(c, index(w.dataCentre()), open.get(index(w.dataCentre())));
                 case SearchEffect.Run r -> run(c, index(r.dataCentre()), r.grant());
-                case SearchEffect.GiveUp g -> c.result().refused(c);
+                case SearchEffect.GiveUp g -> c.result().refused(c, hasRoom(c));
             }
         }
     }
@@ -213,6 +215,13 @@
                 })));
     }
 
+    /** Whether a slot that is not granted exists where the request could have gone. */
+    private boolean hasRoom(Call c) {
+        return IntStream.range(0, Deployment.DATA_CENTRES)
+                .anyMatch(d -> world.takesWorkFrom(c.dataCentre(), d)
+                        && owners.get(d).load().idle() > 0);
+    }
+
     private void release(Call c, int d, AskId id) {
         long delay = world.deployment.delay(c.dataCentre(), d);
         world.timeline.after(delay, () -> carryOut(d, owners.get(d).release(id, now())));
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/World.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/routing/World.java
@@ -89,10 +89,7 @@
         return !cut && !lost.contains(a) && !lost.contains(b);
     }
 
-    boolean hasRoomFor(int dataCentre) {
-        return Arrays.stream(servers)
-                .anyMatch(s -> s.load() < deployment.slots()
-                        && isReachable(dataCentre, s.dataCentre)
-                        && !drained.contains(deployment.regionOf(s.dataCentre)));
+    boolean takesWorkFrom(int dataCentre, int target) {
+        return isReachable(dataCentre, target) && !drained.contains(deployment.regionOf(target));
     }
 }
