--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
+import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
+import org.lycheetray.measure.routing.RoutingMeasurement;
 
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of(new AdmissionMeasurement(), new OnceMeasurement());
+    private static final List<Measurement> MEASUREMENTS = List.of(
+            new AdmissionMeasurement(), new OnceMeasurement(), new LookupMeasurement(), new RoutingMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
