--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/config/ConfigLeadTest.java
@@ -0,0 +1,104 @@
+package org.lycheetray.core.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.Rate;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.table.Row;
+import org.lycheetray.core.table.RowChange;
+import org.lycheetray.core.time.MonotonicTime;
+
+class ConfigLeadTest {
+    private static final DataCentreName DC = TestManifests.dataCentre(0);
+    private static final Incarnation LEAD = new Incarnation(TestManifests.vm(0, 0), 1);
+    private static final Incarnation MATE = new Incarnation(TestManifests.vm(0, 1), 1);
+    private static final Instant REGISTERED = Instant.parse("2026-12-04T10:00:00Z");
+
+    private final LoadedConfig first = config(1, 100);
+    private final LoadedConfig second = config(2, 50);
+    private final ConfigHead head = new ConfigHead(second.ref(), new Submission("s", "op", Instant.EPOCH), first.ref());
+
+    @Test
+    void acknowledgesOnlyWhenEveryVoterHasLoaded() {
+        assertThat(decide(List.of(), Optional.empty(), view(LEAD, second), view(MATE, first)))
+                .isEmpty();
+        assertThat(decide(List.of(), Optional.empty(), view(LEAD, second), view(MATE, second)))
+                .singleElement()
+                .satisfies(w -> assertThat(w.getFirst().key()).isEqualTo(ConfigRows.ack(DC)))
+                .satisfies(w -> assertThat(w.getLast()).isInstanceOf(RowChange.Check.class));
+    }
+
+    @Test
+    void confirmationOfEarlierProcessDoesNotCount() {
+        Incarnation earlier = new Incarnation(MATE.vm(), 0);
+        assertThat(decide(List.of(), Optional.empty(), view(LEAD, second), view(earlier, second)))
+                .isEmpty();
+    }
+
+    @Test
+    void acceptsWithMajorityOfDataCentresOnly() {
+        assertThat(decide(List.of(ack(1)), Optional.empty())).isEmpty();
+        assertThat(decide(List.of(ack(1), ack(2)), Optional.empty()))
+                .singleElement()
+                .satisfies(w -> assertThat(w.getFirst().key()).isEqualTo(ConfigRows.HEAD));
+    }
+
+    @Test
+    void removesVoterOnlyByListThatIsLaterThanItsLag() {
+        Set<VmName> listed = Set.of(LEAD.vm());
+        Instant late = REGISTERED.plus(ConfigLead.LIST_LAG);
+        assertThat(decide(List.of(), Optional.of(new ConfigTable.Listing(late, listed))))
+                .isEmpty();
+        assertThat(decide(List.of(), Optional.of(new ConfigTable.Listing(late.plus(Duration.ofMillis(1)), listed))))
+                .singleElement()
+                .satisfies(w -> assertThat(w.getFirst())
+                        .isInstanceOfSatisfying(
+                                RowChange.Put.class,
+                                p -> assertThat(p.value())
+                                        .contains(LEAD.vm().value())
+                                        .doesNotContain(MATE.vm().value())));
+    }
+
+    private List<List<RowChange>> decide(List<Row> acks, Optional<ConfigTable.Listing> listing, PeerView... views) {
+        VoterRow voters = VoterRow.EMPTY.with(LEAD, REGISTERED).with(MATE, REGISTERED);
+        ConfigTable table = new ConfigTable(
+                new Row(ConfigRows.HEAD, 9, ConfigRows.encode(head)),
+                Optional.of(new Row(ConfigRows.voters(DC), 5, ConfigRows.encode(voters))),
+                acks,
+                listing);
+        return ConfigLead.decide(DC, table, keeper(), Arrays.asList(views)).get();
+    }
+
+    private ConfigKeeper keeper() {
+        ConfigKeeper keeper = new ConfigKeeper(LEAD, DC);
+        MonotonicTime now = MonotonicTime.ZERO;
+        keeper.handle(new ConfigEvent.HeadRead(head, now), now);
+        keeper.handle(new ConfigEvent.ManifestLoaded(first.ref(), first.manifest()), now);
+        keeper.handle(new ConfigEvent.ManifestLoaded(second.ref(), second.manifest()), now);
+        return keeper;
+    }
+
+    private Row ack(int dataCentre) {
+        AckRow ack =
+                new AckRow(TestManifests.dataCentre(dataCentre), second.ref().version());
+        return new Row(ConfigRows.ack(ack.dataCentre()), 7, ConfigRows.encode(ack));
+    }
+
+    private PeerView view(Incarnation i, LoadedConfig loaded) {
+        return new PeerView(i, DC, Optional.of(loaded.ref()), Optional.empty(), Optional.empty(), true, 0);
+    }
+
+    private static LoadedConfig config(long version, long rate) {
+        return TestManifests.loaded(
+                version, TestManifests.manifest(TestManifests.vms(3, 2), List.of(), new Rate(rate, rate)));
+    }
+}
