--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/DemoDriver.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/DemoDriver.java
@@ -43,7 +43,7 @@
                 .addRequiredOption(null, "manifest", true, "example manifest")
                 .addOption(null, "platform", true, "address of the platform's stand-in")
                 .addOption(null, "pids", true, "process ids, VM=PID,...")
-                .addOption(null, "file", true, "file of addresses to write");
+                .addOption(null, "file", true, "file to write: addresses, or the number of requests sent");
         CommandLine line = StandinCommandLine.parse("DemoDriver", options, args);
         DemoPlan plan = plan(line.getOptionValue("manifest"));
         String step = line.getArgList().isEmpty() ? "" : line.getArgList().getFirst();
@@ -84,7 +84,7 @@
         return failed("not all entry VMs listen after " + LIMIT.toSeconds() + " s");
     }
 
-    private int runChecks() {
+    private int runChecks() throws IOException {
         DemoChecks checks = checks();
         if (!checks.awaitAll("/readyz", LIMIT)) {
             return failed("not all entry VMs are ready after " + LIMIT.toSeconds() + " s");
@@ -92,7 +92,11 @@
         if (!checks.awaitAdmission(LIMIT)) {
             return failed("not all entry VMs admit keyed requests after " + LIMIT.toSeconds() + " s");
         }
-        return checks.run() ? 0 : EXIT_WRONG;
+        boolean good = checks.run();
+        if (line.hasOption("file")) {
+            Files.writeString(Path.of(line.getOptionValue("file")), Long.toString(checks.sent()));
+        }
+        return good ? 0 : EXIT_WRONG;
     }
 
     private DemoChecks checks() {
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoCaller.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoCaller.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
@@ -27,11 +28,17 @@
 
     private final HttpClient client = HttpClient.create().disableRetry(true).responseTimeout(LIMIT);
     private final Clock clock;
+    private final AtomicLong sent = new AtomicLong();
 
     DemoCaller(Clock clock) {
         this.clock = clock;
     }
 
+    /** Tells how many requests were sent, pages not counted. */
+    long sent() {
+        return sent.get();
+    }
+
     DemoAnswer send(DemoRequest r) {
         return sendLater(r).block(LIMIT.plusSeconds(1));
     }
@@ -68,6 +75,7 @@
     private Mono<DemoAnswer> sendLater(DemoRequest r) {
         return Mono.defer(() -> {
             MonotonicTime start = clock.monotonic();
+            sent.incrementAndGet();
             return client.headers(h -> fill(h, r))
                     .request(HttpMethod.valueOf(r.method()))
                     .uri("http://" + r.vm().callers() + r.path())
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoChecks.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/demo/DemoChecks.java
@@ -93,6 +93,15 @@
         return report.finish();
     }
 
+    /**
+     * Tells how many requests were sent; the ledger must hold as many.
+     *
+     * @return the number, requests that waited for admission included
+     */
+    public long sent() {
+        return caller.sent();
+    }
+
     private DemoRequest read(String what, int vm, String key) {
         return DemoRequest.keyed(what, plan.vm(vm), plan.path(RouteClass.READ) + "/a", key);
     }
