--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -27,8 +27,7 @@
 import org.lycheetray.daemon.request.RequestObserver;
 import org.lycheetray.daemon.request.RequestPipeline;
 import org.lycheetray.daemon.request.internal.BackendClient;
-import org.lycheetray.daemon.running.PassiveAttempts;
-import org.lycheetray.daemon.running.TableClaims;
+import org.lycheetray.daemon.running.Running;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
@@ -62,15 +61,17 @@
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
         RequestGates gates = new RequestGates(
                 poller,
                 new StaticAdmission(control, clock),
-                new TableClaims(platform.tables()),
-                new LocalSlots(control, settings.dataCentre()),
-                new PassiveAttempts());
+                running.claims(),
+                new LocalSlots(control, settings.dataCentre(), running.health()),
+                running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
+        running.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -87,6 +88,10 @@
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
+        logStart(self, settings);
+    }
+
+    private static void logStart(Incarnation self, Settings settings) {
         LogEvent.of("started")
                 .with("vm", settings.vm())
                 .with("incarnation", self.number())
