--- a/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerReport.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerReport.java
@@ -70,6 +70,8 @@
     /**
      * Gives the totals.
      *
+     * <p>A period that began before the time reported on is shown with that time's start.
+     *
      * @return totals by period, then by client account; requests without client account come first in each period
      */
     public List<LedgerTotal> totals() {
@@ -99,8 +101,9 @@
         if (time.isBefore(from) || !time.isBefore(to)) {
             return;
         }
+        Instant start = period.start(time);
         TotalKey total = new TotalKey(
-                period.start(time), key.account().map(ClientAccountName::value).orElse(""));
+                start.isBefore(from) ? from : start, key.account().map(ClientAccountName::value).orElse(""));
         tallies.computeIfAbsent(total, _ -> new Tally(key.account())).add(key, requests);
     }
 
