--- a/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerReport.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/ledger/LedgerReport.java
@@ -103,7 +103,8 @@
         }
         Instant start = period.start(time);
         TotalKey total = new TotalKey(
-                start.isBefore(from) ? from : start, key.account().map(ClientAccountName::value).orElse(""));
+                start.isBefore(from) ? from : start,
+                key.account().map(ClientAccountName::value).orElse(""));
         tallies.computeIfAbsent(total, _ -> new Tally(key.account())).add(key, requests);
     }
 
