--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
+import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
 import org.lycheetray.measure.routing.RoutingMeasurement;
@@ -9,7 +10,11 @@
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
     private static final List<Measurement> MEASUREMENTS = List.of(
-            new AdmissionMeasurement(), new OnceMeasurement(), new LookupMeasurement(), new RoutingMeasurement());
+            new AdmissionMeasurement(),
+            new OnceMeasurement(),
+            new LookupMeasurement(),
+            new RoutingMeasurement(),
+            new LedgerMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
--- /dev/null
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Cost and completeness of the ledger. */
+package org.lycheetray.measure.ledger;
