--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/ledger/LedgerMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/ledger/LedgerMeasurement.java
@@ -68,7 +68,8 @@
         long total = report.totals().stream().mapToLong(LedgerTotal::requests).sum();
         double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
         figures.add("ledger-report-speed", s.requests / seconds, "lines/s");
-        figures.atMost("ledger-difference-to-plain-sum", (double) Math.abs(total - s.requests), "requests", MAX_DIFFERENCE);
+        figures.atMost(
+                "ledger-difference-to-plain-sum", (double) Math.abs(total - s.requests), "requests", MAX_DIFFERENCE);
         List<LedgerGap> gaps = report.gaps(START);
         figures.atMost("ledger-gaps-after-planned-stop", gaps.size(), "gaps", MAX_DIFFERENCE);
     }
