--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/Admission.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/Admission.java
@@ -8,7 +8,7 @@
  * @param decision whether the request may run
  * @param effects what else must be done, in order
  */
-public record Admission(Decision decision, List<RateEffect> effects) {
+public record Admission(RateDecision decision, List<RateEffect> effects) {
     /** Copies the list. */
     public Admission {
         effects = List.copyOf(effects);
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateEffect.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateEffect.java
@@ -15,8 +15,8 @@
     /**
      * Let a waiting request go on, or refuse it.
      *
-     * @param ticket the ticket of {@link Decision.Waiting}
+     * @param ticket the ticket of {@link RateDecision.Waiting}
      * @param decision admitted or refused, never waiting
      */
-    record Decided(long ticket, Decision decision) implements RateEffect {}
+    record Decided(long ticket, RateDecision decision) implements RateEffect {}
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/RateShares.java
@@ -160,10 +160,10 @@
         if (!isDeclared(name)) {
             Limits none = new Limits(0, 0, 0, options.rest());
             return new Admission(
-                    new Decision.Refused(Decision.Reason.UNKNOWN_ACCOUNT, options.rest(), none), List.of());
+                    new RateDecision.Refused(RateDecision.Reason.UNKNOWN_ACCOUNT, options.rest(), none), List.of());
         }
         List<RateEffect> out = new ArrayList<>();
-        Decision d = account(name, now).admit(deadline, now, out);
+        RateDecision d = account(name, now).admit(deadline, now, out);
         return new Admission(d, out);
     }
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/AccountShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/admission/internal/AccountShares.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.lycheetray.core.admission.Decision;
 import org.lycheetray.core.admission.Limits;
 import org.lycheetray.core.admission.LoanId;
 import org.lycheetray.core.admission.LoanMessage;
+import org.lycheetray.core.admission.RateDecision;
 import org.lycheetray.core.admission.RateEffect;
 import org.lycheetray.core.admission.RateShare;
 import org.lycheetray.core.model.ClientAccountName;
@@ -167,12 +167,12 @@
      * @param out receives messages to send
      * @return the decision, possibly to wait
      */
-    public Decision admit(MonotonicTime deadline, MonotonicTime now, List<RateEffect> out) {
+    public RateDecision admit(MonotonicTime deadline, MonotonicTime now, List<RateEffect> out) {
         refresh(now);
         demand.arrived(now);
         if (waiters.isEmpty() && takeToken()) {
             prefetch(now, out);
-            return new Decision.Admitted(limits());
+            return new RateDecision.Admitted(limits());
         }
         if (waiters.size() >= maxWaiters() || !now.isBefore(deadline)) {
             return refusal(now);
@@ -185,7 +185,7 @@
             waiters.removeLast();
             return refusal(now);
         }
-        return new Decision.Waiting(waiter.ticket());
+        return new RateDecision.Waiting(waiter.ticket());
     }
 
     private int maxWaiters() {
@@ -331,7 +331,7 @@
 
     private void settle(MonotonicTime now, List<RateEffect> out) {
         while (!waiters.isEmpty() && now.isBefore(waiters.getFirst().until()) && takeToken()) {
-            out.add(new RateEffect.Decided(waiters.removeFirst().ticket(), new Decision.Admitted(limits())));
+            out.add(new RateEffect.Decided(waiters.removeFirst().ticket(), new RateDecision.Admitted(limits())));
         }
         waiters.removeIf(w -> expire(w, now, out));
         if (!waiters.isEmpty()) {
@@ -452,8 +452,8 @@
         return new Limits(whole.rate() / TOKEN, whole.burst() / TOKEN, available() / TOKEN, reset);
     }
 
-    private Decision refusal(MonotonicTime now) {
-        return new Decision.Refused(Decision.Reason.OVER_RATE, retryAfter(now), limits());
+    private RateDecision refusal(MonotonicTime now) {
+        return new RateDecision.Refused(RateDecision.Reason.OVER_RATE, retryAfter(now), limits());
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/admission/ChaosFleet.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/admission/ChaosFleet.java
@@ -189,8 +189,8 @@
         }
     }
 
-    private void count(Decision decision) {
-        if (decision instanceof Decision.Admitted) {
+    private void count(RateDecision decision) {
+        if (decision instanceof RateDecision.Admitted) {
             admitted++;
             overAdmitted += exact.admit(now) ? 0 : 1;
         }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -10,7 +10,7 @@
 import org.lycheetray.core.model.Policy;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.daemon.admission.StaticAdmission;
+import org.lycheetray.daemon.admission.FleetAdmission;
 import org.lycheetray.daemon.config.ConfigPoller;
 import org.lycheetray.daemon.config.ConfigView;
 import org.lycheetray.daemon.control.ControlThread;
@@ -62,15 +62,18 @@
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
+        FleetAdmission admission =
+                closer.add("admission", FleetAdmission.create(self, control, clock, poller, peers, platform.tables()));
         RequestGates gates = new RequestGates(
                 poller,
-                new StaticAdmission(control, clock),
+                admission,
                 new TableClaims(platform.tables()),
                 new LocalSlots(control, settings.dataCentre()),
                 new PassiveAttempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
+        status.section("admission", admission::describe);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -84,9 +87,14 @@
         metrics.gauge("lycheetray_requests_in_progress", lifecycle::inProgress);
         metrics.gauge("lycheetray_refused_peer_connections_total", peers::refusedConnections);
         ledger.expose(metrics);
+        admission.expose(metrics);
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
+        logStart(self, settings);
+    }
+
+    private static void logStart(Incarnation self, Settings settings) {
         LogEvent.of("started")
                 .with("vm", settings.vm())
                 .with("incarnation", self.number())
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/admission/package-info.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/admission/package-info.java
@@ -1,2 +1,2 @@
-/** Rate and burst of client accounts on this VM. */
+/** Client accounts' rate and burst over the fleet: loans between VMs on the request path. */
 package org.lycheetray.daemon.admission;
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.lycheetray.core.admission.Admission;
-import org.lycheetray.core.admission.Decision;
 import org.lycheetray.core.admission.ExactBucket;
 import org.lycheetray.core.admission.LoanMessage;
+import org.lycheetray.core.admission.RateDecision;
 import org.lycheetray.core.admission.RateEffect;
 import org.lycheetray.core.admission.RateShares;
 import org.lycheetray.core.admission.RateSharesOptions;
@@ -126,18 +126,18 @@
         tally.wrongfulOfSplit += within && !bySplit ? 1 : 0;
         Admission a = p.shares.admit(account.name(), now.plus(DEADLINE), now);
         switch (a.decision()) {
-            case Decision.Waiting w -> {
+            case RateDecision.Waiting w -> {
                 tally.waited++;
                 p.waiting.put(w.ticket(), new Request(account.name(), within));
             }
-            case Decision.Admitted d -> count(new Request(account.name(), within), d);
-            case Decision.Refused d -> count(new Request(account.name(), within), d);
+            case RateDecision.Admitted d -> count(new Request(account.name(), within), d);
+            case RateDecision.Refused d -> count(new Request(account.name(), within), d);
         }
         perform(vm.name(), p, a.effects());
     }
 
-    private void count(Request request, Decision decision) {
-        if (decision instanceof Decision.Admitted) {
+    private void count(Request request, RateDecision decision) {
+        if (decision instanceof RateDecision.Admitted) {
             tally.overAdmitted += admitted.get(request.account()).admit(loop.now()) ? 0 : 1;
         } else {
             tally.wrongful += request.within() ? 1 : 0;
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -26,11 +26,72 @@
   2: string message
 }
 
+/** Names a loan: the process that asked for it and a number that it counts up. */
+struct LoanId {
+  1: string vm
+  2: i64 incarnation
+  3: i64 number
+}
+
+/** Asks for tokens (micro-tokens) and rate (micro-tokens per second) of a client account. */
+struct LoanRequest {
+  1: i64 tokens
+  2: i64 rate
+  3: bool urgent
+}
+
+/** What is lent; nothing if all amounts are zero. */
+struct LoanAnswer {
+  1: i64 rate
+  2: i64 burst
+  3: i64 tokens
+  4: i64 spare
+  5: optional string largestBorrower
+}
+
+struct LoanExtend {
+  1: i64 number
+}
+
+struct LoanExtended {
+  1: i64 number
+}
+
+/** The borrower uses the loan no longer and hands back the tokens left. */
+struct LoanReturn {
+  1: i64 tokens
+}
+
+union LoanBody {
+  1: LoanRequest request
+  2: LoanAnswer answer
+  3: LoanExtend extend
+  4: LoanExtended extended
+  5: LoanReturn giveBack
+}
+
+struct Loan {
+  1: LoanId id
+  2: string account
+  3: LoanBody body
+}
+
+/** Loan messages in order; answers to them travel as a batch of their own. */
+struct LoanBatch {
+  1: list<Loan> loans
+}
+
+/** A one-way message has arrived. */
+struct Received {
+}
+
 union Request {
+  40: LoanBatch loanBatch
   1: Ping ping
 }
 
 union Reply {
+  40: Received received
   1: Pong pong
   2: Failure failure
 }
