--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/AdmissionMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/AdmissionMeasurement.java
@@ -14,6 +14,7 @@
     private static final Duration LENGTH = Duration.ofSeconds(60);
     private static final Duration QUICK_LENGTH = Duration.ofSeconds(18);
     private static final int RUNS = 3;
+    private static final double MIN_WORST_SERVED_PERCENT = 99.9;
 
     @Override
     public String name() {
@@ -31,6 +32,15 @@
             }
             reportCosts(fault.toString(), all, figures);
         }
+        reportFairness(options, figures);
+    }
+
+    private static void reportFairness(MeasureOptions options, Figures figures) {
+        Duration length = options.quick() ? QUICK_LENGTH : LENGTH.multipliedBy(5);
+        double fair = new FairnessRun(true, options.seed()).worstServedPercent(length);
+        double naive = new FairnessRun(false, options.seed()).worstServedPercent(length);
+        figures.atLeast("worst-served-account-answered", fair, "percent", MIN_WORST_SERVED_PERCENT);
+        figures.add("worst-served-account-answered-first-come", naive, "percent");
     }
 
     private static Tally runs(DemandPattern pattern, Fault fault, MeasureOptions options) {
@@ -54,6 +64,7 @@
         figures.add(prefix + "-requests", (double) tally.requests, "requests");
         figures.atMost(prefix + "-over-admitted", (double) tally.overAdmitted, "tokens", 0);
         figures.atMost(prefix + "-wrongful", tally.wrongfulPercent(), "percent", bound);
+        figures.add(prefix + "-admitted-of-exact", tally.admittedPercent(), "percent");
         figures.add(prefix + "-wrongful-static-split", tally.wrongfulPercentOfSplit(), "percent");
     }
 
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Fleet.java
@@ -138,6 +138,7 @@
 
     private void count(Request request, RateDecision decision) {
         if (decision instanceof RateDecision.Admitted) {
+            tally.admitted++;
             tally.overAdmitted += admitted.get(request.account()).admit(loop.now()) ? 0 : 1;
         } else {
             tally.wrongful += request.within() ? 1 : 0;
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Tally.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/admission/Tally.java
@@ -4,6 +4,7 @@
 final class Tally {
     long requests;
     long withinRate;
+    long admitted;
     long overAdmitted;
     long wrongful;
     long wrongfulOfSplit;
@@ -16,6 +17,7 @@
     void add(Tally o) {
         requests += o.requests;
         withinRate += o.withinRate;
+        admitted += o.admitted;
         overAdmitted += o.overAdmitted;
         wrongful += o.wrongful;
         wrongfulOfSplit += o.wrongfulOfSplit;
@@ -30,6 +32,11 @@
         return 100.0 * wrongful / Math.max(1, withinRate);
     }
 
+    /** Requests admitted in all, in relation to those that one exact bucket admits. */
+    double admittedPercent() {
+        return 100.0 * admitted / Math.max(1, withinRate);
+    }
+
     double wrongfulPercentOfSplit() {
         return 100.0 * wrongfulOfSplit / Math.max(1, withinRate);
     }
