--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -27,8 +27,7 @@
 import org.lycheetray.daemon.request.RequestObserver;
 import org.lycheetray.daemon.request.RequestPipeline;
 import org.lycheetray.daemon.request.internal.BackendClient;
-import org.lycheetray.daemon.running.PassiveAttempts;
-import org.lycheetray.daemon.running.TableClaims;
+import org.lycheetray.daemon.running.Running;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
@@ -62,18 +61,20 @@
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
         FleetAdmission admission =
                 closer.add("admission", FleetAdmission.create(self, control, clock, poller, peers, platform.tables()));
         RequestGates gates = new RequestGates(
                 poller,
                 admission,
-                new TableClaims(platform.tables()),
-                new LocalSlots(control, settings.dataCentre()),
-                new PassiveAttempts());
+                running.claims(),
+                new LocalSlots(control, settings.dataCentre(), running.health()),
+                running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
-        status.section("admission", admission::describe);
+        running.expose(metrics, status);
+        admission.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -87,7 +88,6 @@
         metrics.gauge("lycheetray_requests_in_progress", lifecycle::inProgress);
         metrics.gauge("lycheetray_refused_peer_connections_total", peers::refusedConnections);
         ledger.expose(metrics);
-        admission.expose(metrics);
         peers.listen(settings.peers());
         closer.add("http-front", HttpFront.create(parts, settings.callers()));
         var _ = control.every("check-ready", READY_POLL, this::checkReady);
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/admission/FleetAdmission.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/admission/FleetAdmission.java
@@ -33,6 +33,7 @@
 import org.lycheetray.daemon.request.AdmissionGate;
 import org.lycheetray.daemon.request.RateLimits;
 import org.lycheetray.daemon.request.RequestContext;
+import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.platform.TableService;
 import org.lycheetray.protocol.generated.Loan;
 import org.lycheetray.protocol.generated.LoanBatch;
@@ -194,21 +195,19 @@
     }
 
     /**
-     * Exposes metrics.
+     * Exposes metrics and the section {@code admission} of the status.
      *
-     * @param metrics where to
+     * @param metrics receives the gauges
+     * @param status receives the section
      */
-    public void expose(FleetMetrics metrics) {
+    public void expose(FleetMetrics metrics, StatusReport status) {
+        status.section("admission", this::describe);
         metrics.gauge("lycheetray_loan_messages_sent_total", messagesSent::sum);
         metrics.gauge("lycheetray_requests_waiting_for_loan", () -> requestsWaiting);
     }
 
-    /**
-     * Describes each client account's share at this VM; for the control thread.
-     *
-     * @param node receives a member per account: rate and burst that this VM may use now, loans included
-     */
-    public void describe(ObjectNode node) {
+    /** Each client account's rate and burst that this VM may use now, loans included. */
+    private void describe(ObjectNode node) {
         if (configured == null) {
             return;
         }
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -85,12 +85,34 @@
 struct Received {
 }
 
+/** Asks the process that holds a claim what became of an attempt; answered when that is known. */
+struct ClaimQuestion {
+  1: string attempt
+}
+
+/** What became of an attempt, as the JSON text of claim rows. */
+struct ClaimAnswer {
+  1: string result
+}
+
+/** Requests that were in flight as backend servers crashed, as the JSON texts of their rows. */
+struct SuspectNews {
+  1: list<string> records
+}
+
+struct SuspectsNoted {
+}
+
 union Request {
+  20: ClaimQuestion claimQuestion
+  21: SuspectNews suspectNews
   40: LoanBatch loanBatch
   1: Ping ping
 }
 
 union Reply {
+  20: ClaimAnswer claimAnswer
+  21: SuspectsNoted suspectsNoted
   40: Received received
   1: Pong pong
   2: Failure failure
