--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -10,9 +10,8 @@
 import org.lycheetray.core.model.Policy;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.daemon.admission.StaticAdmission;
+import org.lycheetray.daemon.admission.FleetAdmission;
 import org.lycheetray.daemon.config.ConfigAgent;
-import org.lycheetray.daemon.config.ConfigView;
 import org.lycheetray.daemon.control.ControlThread;
 import org.lycheetray.daemon.http.HttpFront;
 import org.lycheetray.daemon.http.HttpFrontParts;
@@ -44,7 +43,7 @@
     private final Clock clock;
     private final Closer closer = new Closer();
     private final Lifecycle lifecycle = new Lifecycle();
-    private final ConfigView config;
+    private final ConfigAgent config;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -56,23 +55,25 @@
         PlatformClient platform =
                 closer.add("platform", PlatformClient.create(new PlatformSettings(settings.platform())));
         PeerNetwork peers = closer.add("peer-network", PeerNetwork.create(self, settings.fleetSecret(), clock));
-        ConfigAgent agent = closer.add("config", ConfigAgent.create(self, settings, platform, peers, control, clock));
-        this.config = agent;
+        config = closer.add("config", ConfigAgent.create(self, settings, platform, peers, control, clock));
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
-        Running running = closer.add("running", Running.create(self, platform, control, peers, agent, clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, config, clock));
+        FleetAdmission admission =
+                closer.add("admission", FleetAdmission.create(self, control, clock, config, peers, platform.tables()));
         RequestGates gates = new RequestGates(
-                agent,
-                new StaticAdmission(control, clock),
+                config,
+                admission,
                 running.claims(),
                 new LocalSlots(control, settings.dataCentre(), running.health()),
                 running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
-        status.section("config", agent::describe);
+        status.section("config", config::describe);
         running.expose(metrics, status);
+        admission.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
 import org.lycheetray.measure.config.ConfigMeasurement;
+import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
 import org.lycheetray.measure.routing.RoutingMeasurement;
@@ -14,7 +15,8 @@
             new ConfigMeasurement(),
             new OnceMeasurement(),
             new LookupMeasurement(),
-            new RoutingMeasurement());
+            new RoutingMeasurement(),
+            new LedgerMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
