Measure what an entry VM adds to a direct call

Cause: the added latency has a stated bound (median 0.5 ms, p99 3 ms at half load). Change: open-loop and closed-loop load client, bin/measure path with real processes, /proc probe for processor time and memory.

--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -1,10 +1,11 @@
 package org.lycheetray.measure;
 
 import java.util.List;
+import org.lycheetray.measure.path.PathMeasurement;
 
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of();
+    private static final List<Measurement> MEASUREMENTS = List.of(new PathMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
