Stream large bodies, count malformed HTTP, exit 0 after a planned stop

Cause: bodies above 64 KiB were held whole; a stranger's noise on the callers' port was not counted; SIGTERM ended with status 143. Change: sealed RequestBody (held or streamed), a codec neighbour that counts and logs malformed messages once a minute and host, halt(0) after the stop sequence. Conclusion: buffers are bounded by 64 KiB a request except on once routes.

--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
@@ -51,10 +51,16 @@
     private static void run(Settings settings) throws InterruptedException {
         Logging.configure(settings.logFormat(), settings.logLevel());
         Daemon daemon = start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
         daemon.awaitStopped();
     }
 
+    /** Stops as planned; without the halt the virtual machine would report the signal instead of success. */
+    private static void stop(Daemon daemon) {
+        daemon.close();
+        Runtime.getRuntime().halt(0);
+    }
+
     private static Daemon start(Settings settings) {
         try {
             return Daemon.create(settings, Clock.system());
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
@@ -1,13 +1,16 @@
 package org.lycheetray.daemon.http;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.daemon.http.internal.BadRequestCounter;
 import org.lycheetray.daemon.http.internal.OperatorPages;
 import org.lycheetray.daemon.http.internal.RequestEndpoint;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -27,6 +30,7 @@
     private HttpFront(HttpFrontParts parts, Endpoint address) {
         this.pages = new OperatorPages(parts);
         this.requests = new RequestEndpoint(parts);
+        BadRequestCounter malformed = new BadRequestCounter(parts.metrics().malformed(), parts.clock());
         this.server = HttpServer.create()
                 .bindAddress(() -> new InetSocketAddress(address.host(), address.port()))
                 .protocol(HttpProtocol.HTTP11, HttpProtocol.H2C)
@@ -35,6 +39,7 @@
                 .idleTimeout(IDLE_LIMIT)
                 .readTimeout(HEAD_LIMIT)
                 .httpRequestDecoder(d -> d.maxInitialLineLength(MAX_LINE_BYTES).maxHeaderSize(MAX_HEADER_BYTES))
+                .doOnChannelInit((observer, channel, remote) -> watch(channel, malformed))
                 .handle(this::handle)
                 .bindNow();
     }
@@ -50,6 +55,12 @@
         return new HttpFront(parts, address);
     }
 
+    private static void watch(Channel channel, BadRequestCounter malformed) {
+        if (channel.pipeline().get(NettyPipeline.HttpCodec) != null) {
+            channel.pipeline().addAfter(NettyPipeline.HttpCodec, "malformed-counter", malformed);
+        }
+    }
+
     private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
         String uri = req.uri();
         int query = uri.indexOf('?');
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
@@ -89,7 +89,7 @@
         }
         return parts.pipeline().prepare(call.head).fold(RequestEndpoint::refuse, context -> {
             call.context = Optional.of(context);
-            return bodies.read(req, context.config().manifest().policy().maxBodyBytes())
+            return bodies.read(req, context)
                     .flatMap(body -> parts.pipeline().run(context, body))
                     .onErrorResume(BodyReader.TooLargeException.class, RequestEndpoint::tooLarge);
         });
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/peer/LimitedLog.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/log/LimitedLog.java
@@ -1,4 +1,4 @@
-package org.lycheetray.daemon.peer;
+package org.lycheetray.daemon.log;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -7,7 +7,7 @@
 import org.lycheetray.core.time.MonotonicTime;
 
 /** Lets a log event through once per subject and period, so that a hostile peer cannot flood the log. */
-final class LimitedLog {
+public final class LimitedLog {
     private static final int MAX_SUBJECTS = 1_000;
 
     private final Clock clock;
@@ -21,12 +21,24 @@
         }
     };
 
-    LimitedLog(Clock clock, Duration period) {
+    /**
+     * Creates a filter that has seen nothing.
+     *
+     * @param clock clock for the period
+     * @param period least time between two events of one subject
+     */
+    public LimitedLog(Clock clock, Duration period) {
         this.clock = clock;
         this.period = period;
     }
 
-    synchronized void once(String subject, Runnable log) {
+    /**
+     * Logs unless the subject was logged within the period.
+     *
+     * @param subject what the event is about, for example a host
+     * @param log writes the event
+     */
+    public synchronized void once(String subject, Runnable log) {
         MonotonicTime now = clock.monotonic();
         MonotonicTime before = last.get(subject);
         if (before != null && now.since(before).compareTo(period) < 0) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/metrics/FleetMetrics.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/metrics/FleetMetrics.java
@@ -17,6 +17,7 @@
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Counter lookups = registry.counter("lycheetray_lookups_total");
+    private final Counter malformed = registry.counter("lycheetray_malformed_http_total");
 
     /**
      * The registry that holds everything.
@@ -36,6 +37,15 @@
         return lookups;
     }
 
+    /**
+     * Counts messages on the callers' port that are not HTTP.
+     *
+     * @return the counter
+     */
+    public Counter malformed() {
+        return malformed;
+    }
+
     /**
      * Registers a value that is read when the page is written.
      *
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/peer/PeerNetwork.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/peer/PeerNetwork.java
@@ -12,6 +12,7 @@
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.time.Clock;
+import org.lycheetray.daemon.log.LimitedLog;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.protocol.FleetSecret;
 import org.lycheetray.protocol.generated.Failure;
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/ClaimGate.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/ClaimGate.java
@@ -51,8 +51,8 @@
      * Claims a request.
      *
      * @param request a request with an idempotency key
-     * @param body its body
+     * @param digest identity of its content
      * @return the decision
      */
-    Mono<Decision> claim(RequestContext request, Body body);
+    Mono<Decision> claim(RequestContext request, String digest);
 }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/RequestPipeline.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/RequestPipeline.java
@@ -63,10 +63,10 @@
      * Runs a prepared request.
      *
      * @param request the request
-     * @param body its whole body
+     * @param body its body; held whole if the route is of class {@code once}
      * @return the response; never an error
      */
-    public Mono<Response> run(RequestContext request, Body body) {
+    public Mono<Response> run(RequestContext request, RequestBody body) {
         String digest = body.digest(request.head().method(), request.head().uri());
         Optional<Refusal> quarantined = gates.attempts().check(request, digest);
         if (quarantined.isPresent()) {
@@ -87,11 +87,11 @@
         });
     }
 
-    private Mono<Response> claim(RequestContext request, Body body, String digest, Optional<RateLimits> limits) {
+    private Mono<Response> claim(RequestContext request, RequestBody body, String digest, Optional<RateLimits> limits) {
         if (request.route().routeClass() != RouteClass.ONCE) {
             return attempts.run(request, body, digest, limits, Optional.empty());
         }
-        Mono<Response> response = gates.claims().claim(request, body).flatMap(d -> switch (d) {
+        Mono<Response> response = gates.claims().claim(request, digest).flatMap(d -> switch (d) {
             case ClaimGate.Decision.Run run -> attempts.run(request, body, digest, limits, Optional.of(run.claim()));
             case ClaimGate.Decision.Replay r -> Mono.just(replayed(r.answer(), limits));
             case ClaimGate.Decision.Refused r -> Mono.just(Response.refused(r.refusal(), limits));
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
@@ -12,11 +12,11 @@
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.request.Answer;
 import org.lycheetray.daemon.request.AttemptResult;
-import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.ClaimGate;
 import org.lycheetray.daemon.request.RateLimits;
 import org.lycheetray.daemon.request.Refusal;
 import org.lycheetray.daemon.request.RefusalReason;
+import org.lycheetray.daemon.request.RequestBody;
 import org.lycheetray.daemon.request.RequestContext;
 import org.lycheetray.daemon.request.RequestGates;
 import org.lycheetray.daemon.request.RequestPipeline;
@@ -50,7 +50,7 @@
     /** One request on its way through its attempts; used by one attempt at a time. */
     private static final class Run {
         private final RequestContext request;
-        private final Body body;
+        private final RequestBody body;
         private final String digest;
         private final HttpHeaders headers;
         private final Optional<RateLimits> limits;
@@ -63,7 +63,7 @@
 
         Run(
                 RequestContext request,
-                Body body,
+                RequestBody body,
                 String digest,
                 Optional<RateLimits> limits,
                 Optional<ClaimGate.Claim> claim) {
@@ -81,7 +81,7 @@
      * Runs a request that has been admitted and, where needed, claimed.
      *
      * @param request the request
-     * @param body its whole body
+     * @param body its body
      * @param digest identity of its content
      * @param limits state of the client account's rate
      * @param claim the claim to end, empty unless the route is of class {@code once}
@@ -89,7 +89,7 @@
      */
     public Mono<Response> run(
             RequestContext request,
-            Body body,
+            RequestBody body,
             String digest,
             Optional<RateLimits> limits,
             Optional<ClaimGate.Claim> claim) {
@@ -162,6 +162,7 @@
 
     private boolean mayRetry(Run run) {
         return run.attempts < MAX_ATTEMPTS
+                && run.body.isReplayable()
                 && clock.monotonic().isBefore(run.request.deadline())
                 && gates.attempts().mayRetry(run.request);
     }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
@@ -20,7 +20,9 @@
 import org.lycheetray.daemon.request.Answer;
 import org.lycheetray.daemon.request.AttemptResult;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.daemon.request.RequestBody;
 import org.lycheetray.daemon.request.RequestContext;
+import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -70,10 +72,11 @@
      * @param server backend server to use
      * @param request the request
      * @param headers headers for the backend server, without the caller's key
-     * @param body the body
+     * @param body its body
      * @return how the attempt ended; never an error
      */
-    public Mono<AttemptResult> attempt(BackendServer server, RequestContext request, HttpHeaders headers, Body body) {
+    public Mono<AttemptResult> attempt(
+            BackendServer server, RequestContext request, HttpHeaders headers, RequestBody body) {
         Duration left = request.deadline().since(clock.monotonic());
         if (left.isNegative() || left.isZero()) {
             return Mono.just(new AttemptResult.NotRun("before-send", "deadline passed", false));
@@ -81,6 +84,7 @@
         AtomicBoolean sent = new AtomicBoolean();
         return client(server.endpoint())
                 .headers(h -> fill(h, request, headers, left))
+                .headers(h -> length(h, body))
                 .doOnRequest((req, c) -> sent.set(true))
                 .request(HttpMethod.valueOf(request.head().method()))
                 .uri(request.head().uri())
@@ -112,7 +116,21 @@
         request.account().map(ClientAccountName::value).ifPresent(a -> h.set(HeaderUtil.ACCOUNT, a));
     }
 
-    private static Mono<ByteBuf> content(Body body) {
+    /** Declares the length of a streamed body, so that the backend server notices a body that breaks off. */
+    private static void length(HttpHeaders h, RequestBody body) {
+        if (body instanceof RequestBody.Streamed s && s.declaredLength() >= 0) {
+            h.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(s.declaredLength()));
+        }
+    }
+
+    private static Publisher<ByteBuf> content(RequestBody body) {
+        return switch (body) {
+            case RequestBody.Held h -> held(h.body());
+            case RequestBody.Streamed s -> s.content();
+        };
+    }
+
+    private static Mono<ByteBuf> held(Body body) {
         return body.bytes().length == 0 ? Mono.empty() : Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body.bytes()));
     }
 
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/TableClaims.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/TableClaims.java
@@ -8,7 +8,6 @@
 import org.lycheetray.core.table.RowKey;
 import org.lycheetray.core.table.WriteResult;
 import org.lycheetray.daemon.request.AttemptResult;
-import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.ClaimGate;
 import org.lycheetray.daemon.request.Refusal;
 import org.lycheetray.daemon.request.RefusalReason;
@@ -32,7 +31,7 @@
     }
 
     @Override
-    public Mono<Decision> claim(RequestContext request, Body body) {
+    public Mono<Decision> claim(RequestContext request, String digest) {
         RowKey key = key(request);
         RowChange put =
                 new RowChange.Put(key, RowChange.ABSENT, '"' + request.id().value() + '"');
