--- /dev/null
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontTest.java
@@ -0,0 +1,171 @@
+package org.lycheetray.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.Outcome;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+
+class HttpFrontTest {
+    private static final int LARGE = 300_000;
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final FrontFixture front = new FrontFixture(backend());
+
+    @AfterEach
+    void close() {
+        front.close();
+    }
+
+    @Test
+    void answersWithTheBackendServersBody() throws Exception {
+        assertThat(get("/open/x").body()).isEqualTo("/open/x");
+    }
+
+    @Test
+    void namesRequestRegionAndOutcome() throws Exception {
+        HttpResponse<String> response = get("/open/x");
+        assertThat(response.headers().map())
+                .containsKeys("lycheetray-request-id", "lycheetray-region", "lycheetray-outcome");
+    }
+
+    @Test
+    void accountsForEveryRequestOnce() throws Exception {
+        get("/open/x");
+        assertThat(front.nextFinished().outcome()).isEqualTo(Outcome.ANSWERED);
+        assertThat(front.finished).isEmpty();
+    }
+
+    @Test
+    void refusesAnUnknownRouteTruthfully() throws Exception {
+        HttpResponse<String> response = get("/nowhere");
+        assertThat(response.statusCode()).isEqualTo(404);
+        assertThat(response.headers().firstValue("lycheetray-outcome")).contains("not-run");
+    }
+
+    @Test
+    void refusesAWrongKey() throws Exception {
+        assertThat(send("/keyed/x", r -> r.header("Authorization", "Bearer wrong"))
+                        .statusCode())
+                .isEqualTo(401);
+    }
+
+    @Test
+    void theBackendServerNeverSeesTheKey() throws Exception {
+        HttpResponse<String> response =
+                send("/keyed/headers", r -> r.header("Authorization", "Bearer " + FrontFixture.KEY));
+        assertThat(response.body()).contains("Lycheetray-Account").doesNotContain(FrontFixture.KEY);
+    }
+
+    @Test
+    void refusesAKeyInTheUrl() throws Exception {
+        HttpResponse<String> response =
+                send("/keyed/x?key=" + FrontFixture.KEY, r -> r.header("Authorization", "Bearer " + FrontFixture.KEY));
+        assertThat(response.statusCode()).isEqualTo(400);
+    }
+
+    @Test
+    void streamsALargeBodyBothWays() throws Exception {
+        String large = "x".repeat(LARGE);
+        HttpResponse<String> response = send("/open/echo", r -> r.POST(HttpRequest.BodyPublishers.ofString(large)));
+        assertThat(response.body()).isEqualTo(large);
+    }
+
+    @Test
+    void refusesABodyOverTheLimit() throws Exception {
+        byte[] body = new byte[FrontFixture.MAX_BODY_BYTES + 1];
+        HttpResponse<String> response = send("/open/echo", r -> r.POST(HttpRequest.BodyPublishers.ofByteArray(body)));
+        assertThat(response.statusCode()).isEqualTo(413);
+    }
+
+    @Test
+    void neverPassesOffATruncatedAnswerAsWhole() throws Exception {
+        assertThat(get("/open/truncated").statusCode()).isEqualTo(502);
+        assertThat(front.nextFinished().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void breaksOffTogetherWithALargeTruncatedAnswer() throws Exception {
+        assertThatThrownBy(() -> get("/open/large-truncated")).isInstanceOf(IOException.class);
+        assertThat(front.nextFinished().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void refusesAnAnswerToAnotherRequest() throws Exception {
+        assertThat(get("/open/crossed").statusCode()).isEqualTo(502);
+    }
+
+    @Test
+    void countsMalformedHttpAndGoesOn() throws Exception {
+        assertThat(raw("NOT HTTP AT ALL\r\n\r\n")).contains("400");
+        assertThat(front.registry().counter("lycheetray_malformed_http_total").getCount())
+                .isEqualTo(1);
+        assertThat(get("/open/x").statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void refusesOversizedHeaders() throws Exception {
+        assertThat(raw("GET /open/x HTTP/1.1\r\nHost: x\r\nX: " + "y".repeat(40_000) + "\r\n\r\n"))
+                .contains("431");
+    }
+
+    private HttpResponse<String> get(String path) throws Exception {
+        return send(path, r -> r);
+    }
+
+    private HttpResponse<String> send(String path, UnaryOperator<HttpRequest.Builder> change) throws Exception {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(front.url(path))).timeout(LIMIT);
+        return http.send(change.apply(request).build(), BodyHandlers.ofString());
+    }
+
+    private String raw(String text) throws IOException {
+        try (Socket s = new Socket(front.address.host(), front.address.port())) {
+            s.setSoTimeout((int) LIMIT.toMillis());
+            s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static HttpServer backend() {
+        return HttpServer.create()
+                .host("127.0.0.1")
+                .port(0)
+                .route(routes -> routes.get(
+                                "/keyed/headers",
+                                (req, res) -> res.sendString(
+                                        Mono.just(req.requestHeaders().toString())))
+                        .post("/open/echo", (req, res) -> res.send(req.receive().retain()))
+                        .get("/open/truncated", (req, res) -> truncated(res.header("Content-Length", "100"), 10))
+                        .get(
+                                "/open/large-truncated",
+                                (req, res) -> truncated(res.header("Content-Length", "1000000"), LARGE))
+                        .get(
+                                "/open/crossed",
+                                (req, res) -> res.header("Lycheetray-Request-Id", "another")
+                                        .sendString(Mono.just("secret")))
+                        .get("/**", (req, res) -> res.sendString(Mono.just(req.uri()))));
+    }
+
+    private static Mono<Void> truncated(HttpServerResponse res, int bytes) {
+        return res.sendString(Flux.just("z".repeat(bytes)))
+                .then()
+                .then(Mono.fromRunnable(() -> res.withConnection(c -> c.dispose())));
+    }
+}
