--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
@@ -55,7 +55,7 @@
         daemon.awaitStopped();
     }
 
-    /** Stops as planned; without the halt the virtual machine would report the signal instead of success. */
+    /** Stops as planned; ends the process with status 0, which a signal alone would not give. */
     private static void stop(Daemon daemon) {
         daemon.close();
         Runtime.getRuntime().halt(0);
