--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFront.java
@@ -56,8 +56,8 @@
     }
 
     private static void watch(Channel channel, BadRequestCounter malformed) {
-        if (channel.pipeline().get(NettyPipeline.HttpCodec) != null) {
-            channel.pipeline().addAfter(NettyPipeline.HttpCodec, "malformed-counter", malformed);
+        if (channel.pipeline().get(NettyPipeline.HttpTrafficHandler) != null) {
+            channel.pipeline().addBefore(NettyPipeline.HttpTrafficHandler, "malformed-counter", malformed);
         }
     }
 
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
@@ -43,6 +43,7 @@
     public static final int HELD_ONCE_ANSWER_BYTES = 1024 * 1024;
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration STREAM_IDLE_LIMIT = Duration.ofSeconds(5);
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
     private static final int CONNECTIONS_PER_SERVER = 32;
     private static final int STATUS_UNAVAILABLE = 503;
@@ -155,7 +156,12 @@
                     .defaultIfEmpty(Body.EMPTY.bytes())
                     .map(bytes -> new AttemptResult.Answered(new Answer.Whole(status, headers, new Body(bytes))));
         }
-        Flux<ByteBuf> content = c.inbound().receive().retain().doOnCancel(c::dispose);
+        Flux<ByteBuf> content = c.inbound()
+                .receive()
+                .retain()
+                .timeout(STREAM_IDLE_LIMIT)
+                .doOnError(e -> c.dispose())
+                .doOnCancel(c::dispose);
         return Mono.just(new AttemptResult.Answered(new Answer.Streamed(status, headers, content)));
     }
 
