--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/FrontFixture.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/FrontFixture.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -155,10 +156,15 @@
             }
 
             @Override
-            public boolean mayRetry(RequestContext request) {
+            public boolean mayRetry(RequestContext request, AttemptResult last) {
                 return false;
             }
 
+            @Override
+            public Set<BackendServerName> avoid(String digest) {
+                return Set.of();
+            }
+
             @Override
             public void started(BackendServer server, RequestContext request, String digest) {}
 
--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontTest.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontTest.java
@@ -171,9 +171,11 @@
                                 "/open/crossed",
                                 (req, res) -> res.header("Lycheetray-Request-Id", "another")
                                         .sendString(Mono.just("secret")))
-                        .get("/open/stalled", (req, res) -> res.header("Content-Length", "1000000")
-                        .sendString(Flux.just("z".repeat(LARGE)).concatWith(Flux.never())))
-                .get("/**", (req, res) -> res.sendString(Mono.just(req.uri()))));
+                        .get(
+                                "/open/stalled",
+                                (req, res) -> res.header("Content-Length", "1000000")
+                                        .sendString(Flux.just("z".repeat(LARGE)).concatWith(Flux.never())))
+                        .get("/**", (req, res) -> res.sendString(Mono.just(req.uri()))));
     }
 
     private static Mono<Void> truncated(HttpServerResponse res, int bytes) {
