--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -10,7 +10,7 @@
 import org.lycheetray.core.model.Policy;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.daemon.admission.StaticAdmission;
+import org.lycheetray.daemon.admission.FleetAdmission;
 import org.lycheetray.daemon.config.ConfigPoller;
 import org.lycheetray.daemon.config.ConfigView;
 import org.lycheetray.daemon.control.ControlThread;
@@ -62,9 +62,11 @@
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
         Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
+        FleetAdmission admission =
+                closer.add("admission", FleetAdmission.create(self, control, clock, poller, peers, platform.tables()));
         RequestGates gates = new RequestGates(
                 poller,
-                new StaticAdmission(control, clock),
+                admission,
                 running.claims(),
                 new LocalSlots(control, settings.dataCentre(), running.health()),
                 running.attempts());
@@ -72,6 +74,7 @@
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
         running.expose(metrics, status);
+        admission.expose(metrics, status);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
+import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
 import org.lycheetray.measure.path.PathMeasurement;
@@ -11,6 +12,7 @@
 public final class Measure {
     private static final List<Measurement> MEASUREMENTS = List.of(
             new AdmissionMeasurement(), //
+            new LedgerMeasurement(), //
             new LookupMeasurement(), //
             new OnceMeasurement(), //
             new PathMeasurement(), //
