--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/GroupClaims.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/GroupClaims.java
@@ -28,7 +28,6 @@
 import org.lycheetray.daemon.control.ControlThread;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.peer.PeerNetwork;
-import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.ClaimGate;
 import org.lycheetray.daemon.request.Refusal;
 import org.lycheetray.daemon.request.RequestContext;
@@ -92,8 +91,7 @@
     }
 
     @Override
-    public Mono<Decision> claim(RequestContext request, Body body) {
-        String digest = body.digest(request.head().method(), request.head().uri());
+    public Mono<Decision> claim(RequestContext request, String digest) {
         ClaimKey key = new ClaimKey(request.account(), request.idempotencyKey().orElseThrow());
         ClaimRequest r =
                 new ClaimRequest(request.id(), key, new RequestDigest(digest), request.deadline(), clock.instant());
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -5,16 +5,18 @@
 import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
+import org.lycheetray.measure.path.PathMeasurement;
 import org.lycheetray.measure.routing.RoutingMeasurement;
 
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
     private static final List<Measurement> MEASUREMENTS = List.of(
-            new AdmissionMeasurement(),
-            new OnceMeasurement(),
-            new LookupMeasurement(),
-            new RoutingMeasurement(),
-            new LedgerMeasurement());
+            new AdmissionMeasurement(), //
+            new LedgerMeasurement(), //
+            new LookupMeasurement(), //
+            new OnceMeasurement(), //
+            new PathMeasurement(), //
+            new RoutingMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
