Steering in force in the daemon: membership, leads, slots of the whole fleet

Cause: each VM counted only its own requests. Change: heartbeats, views, lease rows and slot grants over the peer network; status sections membership and slots.

--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -31,7 +31,8 @@
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
 import org.lycheetray.daemon.steering.DeclaredVms;
-import org.lycheetray.daemon.steering.LocalSlots;
+import org.lycheetray.daemon.steering.FleetMembership;
+import org.lycheetray.daemon.steering.FleetSlots;
 import org.lycheetray.platform.PlatformClient;
 import org.lycheetray.platform.PlatformSettings;
 
@@ -45,6 +46,7 @@
     private final Closer closer = new Closer();
     private final Lifecycle lifecycle = new Lifecycle();
     private final ConfigView config;
+    private final FleetMembership membership;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -62,16 +64,17 @@
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
         Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
+        FleetMembership fleet = FleetMembership.create(self, platform, control, peers, poller, clock);
+        FleetSlots slots = FleetSlots.create(self, fleet, control, peers, poller, running.health(), clock);
+        this.membership = fleet;
         RequestGates gates = new RequestGates(
-                poller,
-                new StaticAdmission(control, clock),
-                running.claims(),
-                new LocalSlots(control, settings.dataCentre(), running.health()),
-                running.attempts());
+                poller, new StaticAdmission(control, clock), running.claims(), slots, running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
         running.expose(metrics, status);
+        status.section("membership", fleet::describe);
+        status.section("slots", slots::describe);
         HttpFrontParts parts = new HttpFrontParts(
                 self,
                 clock,
@@ -140,6 +143,7 @@
         MonotonicTime limit = start.plus(policy.map(Policy::drainLimit).orElse(DEFAULT_DRAIN_LIMIT));
         Duration ttl = policy.map(Policy::lookupTtl).orElse(Duration.ZERO);
         lifecycle.advance(Phase.LEAVING);
+        membership.leave();
         LogEvent.of("leaving").with("step", "announce").info();
         awaitUntil(min(start.plus(ttl), limit), false);
         lifecycle.advance(Phase.DRAINING);
--- /dev/null
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/FleetSlots.java
@@ -0,0 +1,361 @@
+package org.lycheetray.daemon.steering;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.lycheetray.core.membership.MemberState;
+import org.lycheetray.core.membership.Membership;
+import org.lycheetray.core.model.BackendServer;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.DataCentre;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.Link;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.Service;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.Vm;
+import org.lycheetray.core.regions.ShiftLimiter;
+import org.lycheetray.core.slots.AskId;
+import org.lycheetray.core.slots.HeldGrants;
+import org.lycheetray.core.slots.OwnerChoice;
+import org.lycheetray.core.slots.OwnerGeneration;
+import org.lycheetray.core.slots.SlotAsk;
+import org.lycheetray.core.slots.SlotEffect;
+import org.lycheetray.core.slots.SlotLoad;
+import org.lycheetray.core.slots.SlotRefusal;
+import org.lycheetray.core.slots.SlotRouter;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.daemon.config.ActiveConfig;
+import org.lycheetray.daemon.config.ConfigView;
+import org.lycheetray.daemon.control.ControlThread;
+import org.lycheetray.daemon.peer.PeerNetwork;
+import org.lycheetray.daemon.request.RequestContext;
+import org.lycheetray.daemon.request.SlotGate;
+import org.lycheetray.daemon.running.ServerHealth;
+import org.lycheetray.daemon.steering.internal.MessageUtil;
+import org.lycheetray.protocol.generated.HoldingsQuestion;
+import org.lycheetray.protocol.generated.LoadQuestion;
+import org.lycheetray.protocol.generated.Noted;
+import org.lycheetray.protocol.generated.Reply;
+import org.lycheetray.protocol.generated.Request;
+import org.lycheetray.protocol.generated.SlotAnswer;
+import org.lycheetray.protocol.generated.SlotRelease;
+import reactor.core.publisher.Mono;
+
+/**
+ * Gets slots from their owners, on this VM or another one.
+ *
+ * <p>State lives on the control thread; {@link #acquire} may be called from any thread.
+ */
+public final class FleetSlots implements SlotGate {
+    private static final Duration REFRESH = Duration.ofMillis(100);
+    private static final Duration LOAD_PERIOD = Duration.ofSeconds(1);
+    private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Incarnation self;
+    private final FleetMembership fleet;
+    private final ControlThread control;
+    private final PeerNetwork peers;
+    private final ConfigView config;
+    private final Clock clock;
+    private final SlotOwners owners;
+    private final Map<ServiceName, RoutedService> services = new HashMap<>();
+    private final Map<OwnerKey, HeldGrants> held = new HashMap<>();
+    private long asks;
+
+    private record OwnerKey(ServiceName service, DataCentreName dataCentre) {}
+
+    private record RoutedService(SlotRouter router, ShiftLimiter limiter) {}
+
+    private FleetSlots(
+            Incarnation self,
+            FleetMembership fleet,
+            ControlThread control,
+            PeerNetwork peers,
+            ConfigView config,
+            ServerHealth health,
+            Clock clock) {
+        this.self = self;
+        this.fleet = fleet;
+        this.control = control;
+        this.peers = peers;
+        this.config = config;
+        this.clock = clock;
+        this.owners = new SlotOwners(clock, health);
+    }
+
+    /**
+     * Starts; must be called before the peer network listens.
+     *
+     * @param self this process
+     * @param fleet live VMs
+     * @param control runs the decisions
+     * @param peers reaches other owners
+     * @param config services and backend servers
+     * @param health backend servers that can be used
+     * @param clock clock of the process
+     * @return the gate
+     */
+    public static FleetSlots create(
+            Incarnation self,
+            FleetMembership fleet,
+            ControlThread control,
+            PeerNetwork peers,
+            ConfigView config,
+            ServerHealth health,
+            Clock clock) {
+        FleetSlots s = new FleetSlots(self, fleet, control, peers, config, health, clock);
+        s.start();
+        return s;
+    }
+
+    private void start() {
+        peers.handle(
+                Request._Fields.SLOT_QUESTION,
+                (from, r) -> askHere(
+                                new ServiceName(r.getSlotQuestion().getServiceName()),
+                                MessageUtil.ask(from, r.getSlotQuestion()))
+                        .map(e -> Reply.slotAnswer(MessageUtil.toMessage(e))));
+        peers.handle(
+                Request._Fields.SLOT_RELEASE,
+                (from, r) -> control.call(() -> {
+                    SlotRelease m = r.getSlotRelease();
+                    owners.release(new ServiceName(m.getServiceName()), new AskId(from, m.getNumber()));
+                    return Reply.noted(new Noted());
+                }));
+        peers.handle(
+                Request._Fields.LOAD_QUESTION,
+                (from, r) -> control.call(() -> Reply.slotAnswer(MessageUtil.withLoad(
+                        owners.load(new ServiceName(r.getLoadQuestion().getServiceName()))))));
+        peers.handle(
+                Request._Fields.HOLDINGS_QUESTION,
+                (from, r) -> control.call(() -> holdings(from, r.getHoldingsQuestion())));
+        var _ = control.every("slots", REFRESH, this::refresh);
+        var _ = control.every("slot-loads", LOAD_PERIOD, this::askLoads);
+    }
+
+    private Mono<SlotEffect> askHere(ServiceName service, SlotAsk ask) {
+        return owners.ask(service, ask).subscribeOn(control.scheduler());
+    }
+
+    private Reply holdings(Incarnation owner, HoldingsQuestion q) {
+        DataCentreName from = config.active()
+                .flatMap(c -> c.vm(owner.vm()))
+                .map(Vm::dataCentre)
+                .orElseThrow(() -> new IllegalStateException("undeclared VM " + owner.vm()));
+        OwnerGeneration generation = new OwnerGeneration(q.getGeneration(), owner);
+        return grants(new ServiceName(q.getServiceName()), from)
+                .report(generation, clock.monotonic())
+                .map(h -> Reply.holdings(MessageUtil.toHoldings(h)))
+                .orElseThrow(() -> new IllegalStateException("a later owner has already asked"));
+    }
+
+    private HeldGrants grants(ServiceName service, DataCentreName dataCentre) {
+        return held.computeIfAbsent(new OwnerKey(service, dataCentre), k -> new HeldGrants());
+    }
+
+    private void refresh() {
+        fleet.membership()
+                .ifPresent(m -> config.active().ifPresent(c -> {
+                    for (SlotOwners.ReportDue due : owners.refresh(c, m)) {
+                        askHoldings(due, c, m);
+                    }
+                    m.members(m.home()).stream()
+                            .filter(x -> x.state() == MemberState.DEAD)
+                            .forEach(x -> owners.holderDied(x.incarnation()));
+                }));
+    }
+
+    private void askHoldings(SlotOwners.ReportDue due, ActiveConfig c, Membership m) {
+        if (due.holder().equals(self.vm())) {
+            grants(due.service(), m.home())
+                    .report(due.generation(), clock.monotonic())
+                    .ifPresent(h -> owners.reported(due, h));
+            return;
+        }
+        HoldingsQuestion q =
+                new HoldingsQuestion(due.service().value(), due.generation().number());
+        Optional<Vm> vm = c.vm(due.holder());
+        vm.ifPresent(v -> {
+            var _ = peers.call(v.peers(), Request.holdingsQuestion(q), PEER_TIMEOUT)
+                    .publishOn(control.scheduler())
+                    .subscribe(
+                            r -> peers.connectedTo(v.peers())
+                                    .ifPresent(i -> owners.reported(due, MessageUtil.held(i, r.getHoldings()))),
+                            e -> {});
+        });
+    }
+
+    private void askLoads() {
+        fleet.membership()
+                .ifPresent(m -> config.active().ifPresent(c -> {
+                    for (Service s : c.manifest().services()) {
+                        RoutedService routed = routed(s, c, m);
+                        for (DataCentreName d : dataCentres(s.name(), c)) {
+                            askLoad(s.name(), d, routed, c, m);
+                        }
+                    }
+                }));
+    }
+
+    private void askLoad(ServiceName s, DataCentreName d, RoutedService routed, ActiveConfig c, Membership m) {
+        Optional<Incarnation> owner = OwnerChoice.owner(s, d, m.members(d));
+        if (owner.isEmpty() || owner.get().equals(self)) {
+            routed.router().observe(d, owner.isEmpty() ? SlotLoad.NONE : owners.load(s));
+            return;
+        }
+        c.vm(owner.get().vm()).ifPresent(vm -> {
+            var _ = peers.call(vm.peers(), Request.loadQuestion(new LoadQuestion(s.value())), PEER_TIMEOUT)
+                    .publishOn(control.scheduler())
+                    .subscribe(
+                            r -> routed.router().observe(d, MessageUtil.load(r.getSlotAnswer())),
+                            e -> routed.router().observe(d, SlotLoad.NONE));
+        });
+    }
+
+    private RoutedService routed(Service s, ActiveConfig c, Membership m) {
+        RoutedService routed = services.computeIfAbsent(s.name(), n -> route(s, c, m));
+        routed.limiter().cap(s.shiftCap());
+        routed.router().usable(d -> m.isReachable(d));
+        return routed;
+    }
+
+    private static RoutedService route(Service s, ActiveConfig c, Membership m) {
+        Map<DataCentreName, RegionName> regions = new TreeMap<>();
+        regions.put(m.home(), c.region(m.home()));
+        dataCentres(s.name(), c).forEach(d -> regions.put(d, c.region(d)));
+        Map<RegionName, Duration> delays = new TreeMap<>();
+        for (Link l : c.manifest().links()) {
+            if (l.from().equals(c.region(m.home()))) {
+                delays.put(l.to(), l.oneWayDelay());
+            }
+        }
+        ShiftLimiter limiter = ShiftLimiter.create(c.region(m.home()), s.shiftCap());
+        return new RoutedService(SlotRouter.create(m.home(), regions, delays, limiter), limiter);
+    }
+
+    private static Set<DataCentreName> dataCentres(ServiceName service, ActiveConfig c) {
+        return c.manifest().backendServers().stream()
+                .filter(b -> b.service().equals(service))
+                .map(BackendServer::dataCentre)
+                .filter(d -> c.manifest().dataCentres().stream()
+                        .map(DataCentre::name)
+                        .anyMatch(d::equals))
+                .collect(Collectors.toSet());
+    }
+
+    @Override
+    public Mono<Decision> acquire(RequestContext request, Set<BackendServerName> tried) {
+        return Mono.<Decision>create(sink -> control.execute("acquire-slot", () -> {
+            Optional<Membership> m = fleet.membership();
+            if (m.isEmpty()) {
+                sink.success(new Decision.Refused("this VM is not declared", Optional.of(PEER_TIMEOUT)));
+                return;
+            }
+            Service s = request.config().service(request.route().service());
+            RoutedService routed = routed(s, request.config(), m.get());
+            Acquisition a =
+                    new Acquisition(this, request, tried, routed.router().search(clock.instant()), sink);
+            sink.onCancel(() -> control.execute("cancel-slot", a::cancel));
+            a.start();
+        }));
+    }
+
+    AskId nextAsk() {
+        return new AskId(self, asks++);
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    ControlThread control() {
+        return control;
+    }
+
+    /** Asks the owner of a data centre; whatever fails on the way counts as refused, and is given back. */
+    Mono<SlotEffect> ask(ServiceName service, DataCentreName d, SlotAsk ask) {
+        Optional<Incarnation> owner = fleet.membership().flatMap(m -> OwnerChoice.owner(service, d, m.members(d)));
+        Optional<Vm> vm = owner.flatMap(o -> config.active().flatMap(c -> c.vm(o.vm())));
+        SlotEffect refused = new SlotEffect.Refused(ask.id(), SlotRefusal.NOT_OWNER, SlotLoad.NONE);
+        if (vm.isEmpty()) {
+            return Mono.just(refused);
+        }
+        if (owner.get().equals(self)) {
+            return owners.ask(service, ask);
+        }
+        Duration timeout = ask.timeLeft().plus(PEER_TIMEOUT);
+        return peers.call(vm.get().peers(), Request.slotQuestion(MessageUtil.toMessage(service, ask)), timeout)
+                .map(r -> effect(ask.id(), owner.get(), r.getSlotAnswer()))
+                .onErrorResume(e -> {
+                    release(service, d, ask.id());
+                    return Mono.just(refused);
+                })
+                .publishOn(control.scheduler());
+    }
+
+    private SlotEffect effect(AskId id, Incarnation owner, SlotAnswer a) {
+        SlotLoad load = MessageUtil.load(a);
+        Optional<BackendServer> server = config.active().stream()
+                .flatMap(c -> c.manifest().backendServers().stream())
+                .filter(b -> b.name().value().equals(a.getServer()))
+                .findFirst();
+        if (server.isEmpty()) {
+            SlotRefusal reason = a.isSetRefusal() ? SlotRefusal.valueOf(a.getRefusal()) : SlotRefusal.NO_BACKEND_SERVER;
+            return new SlotEffect.Refused(id, reason, load);
+        }
+        OwnerGeneration g = new OwnerGeneration(a.getGeneration(), owner);
+        return new SlotEffect.Granted(id, g, server.get(), Duration.ofMillis(a.getValidityMillis()), load);
+    }
+
+    boolean accept(ServiceName service, DataCentreName d, SlotEffect.Granted g, SlotAsk ask, Duration sinceAsked) {
+        var now = clock.monotonic();
+        return grants(service, d).accept(g, now.plus(sinceAsked.negated()), now)
+                && !ask.timeLeft().isNegative();
+    }
+
+    void release(ServiceName service, DataCentreName d, AskId id) {
+        control.execute("release-slot", () -> {
+            grants(service, d).end(id);
+            Optional<Incarnation> owner = fleet.membership().flatMap(m -> OwnerChoice.owner(service, d, m.members(d)));
+            if (owner.filter(self::equals).isPresent()) {
+                owners.release(service, id);
+                return;
+            }
+            owner.flatMap(o -> config.active().flatMap(c -> c.vm(o.vm()))).ifPresent(vm -> {
+                Request message = Request.slotRelease(new SlotRelease(id.number(), service.value()));
+                var _ = peers.call(vm.peers(), message, PEER_TIMEOUT).retry(1).subscribe(r -> {}, e -> {});
+            });
+        });
+    }
+
+    /**
+     * Fills in the status section; for the control thread.
+     *
+     * @param node receives owned slots and shifts
+     */
+    public void describe(ObjectNode node) {
+        ObjectNode owned = node.putObject("owned");
+        owners.owned()
+                .forEach((s, o) -> owned.putObject(s.value())
+                        .put("slots", o.load().slots())
+                        .put("inFlight", o.load().inFlight())
+                        .put("waiting", o.load().waiting())
+                        .put("generation", o.generation().number())
+                        .put("learning", o.isLearning()));
+        ObjectNode shifts = node.putObject("shifts");
+        services.forEach((s, r) -> {
+            var status = r.limiter().status();
+            ObjectNode one = shifts.putObject(s.value());
+            one.put("capPermille", status.capPermille()).put("usedPermille", status.usedPermille());
+            ObjectNode current = one.putObject("current");
+            status.current().forEach((region, share) -> current.put(region.value(), share));
+        });
+    }
+}
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -44,13 +44,109 @@
 struct SuspectsNoted {
 }
 
+/** Sign of life of the sender; the greeting tells its incarnation. */
+struct HeartbeatNews {
+  1: bool leaving
+  /** Term of the lead lease, -1 if the sender does not act as lead. */
+  2: i64 leadTerm
+  3: i64 viewsDigest
+  4: list<string> unreachable
+}
+
+struct MemberInfo {
+  1: string vm
+  2: i64 incarnation
+  3: string state
+}
+
+/** Members of one data centre as its lead sees them. */
+struct ViewInfo {
+  1: string dataCentre
+  2: i64 version
+  3: string authorVm
+  4: i64 authorIncarnation
+  5: list<MemberInfo> members
+}
+
+struct ViewsNews {
+  1: list<ViewInfo> views
+}
+
+/** Versions of the views that the sender knows, by data centre. */
+struct VersionsNews {
+  1: map<string, i64> versions
+}
+
+struct Noted {
+}
+
+/** Asks the owner of a service's slots for one. */
+struct SlotQuestion {
+  1: i64 number
+  2: string serviceName
+  3: string account
+  4: i32 weight
+  5: i64 timeLeftMillis
+  6: string mode
+  7: list<string> avoid
+}
+
+struct SlotAnswer {
+  /** Set if a slot is granted. */
+  1: optional string server
+  2: i64 validityMillis
+  3: i64 generation
+  /** Set if no slot is granted. */
+  4: optional string refusal
+  5: i32 slots
+  6: i32 inFlight
+  7: i32 waiting
+}
+
+/** Gives a slot back, or withdraws a question that was not answered yet. */
+struct SlotRelease {
+  1: i64 number
+  2: string serviceName
+}
+
+/** Asks how loaded the slots of a service are. */
+struct LoadQuestion {
+  1: string serviceName
+}
+
+/** A new owner asks what its predecessors granted; grants of theirs that arrive later are not used. */
+struct HoldingsQuestion {
+  1: string serviceName
+  2: i64 generation
+}
+
+struct HeldSlot {
+  1: i64 number
+  2: string server
+  3: i64 timeLeftMillis
+}
+
+struct Holdings {
+  1: list<HeldSlot> held
+}
+
 union Request {
+  40: HeartbeatNews heartbeat
+  41: ViewsNews views
+  42: VersionsNews versions
+  43: SlotQuestion slotQuestion
+  44: SlotRelease slotRelease
+  45: HoldingsQuestion holdingsQuestion
+  46: LoadQuestion loadQuestion
   20: ClaimQuestion claimQuestion
   21: SuspectNews suspectNews
   1: Ping ping
 }
 
 union Reply {
+  40: Noted noted
+  43: SlotAnswer slotAnswer
+  45: Holdings holdings
   20: ClaimAnswer claimAnswer
   21: SuspectsNoted suspectsNoted
   1: Pong pong
