Slots are counted over all VMs: wait for every declared holder, outrun a rival owner

Cause: the loopback test of two VMs granted three of two slots: both had started, neither had heard the other, each owned.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/membership/Membership.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/membership/Membership.java
@@ -266,6 +266,15 @@
         return !unreachable.contains(dataCentre);
     }
 
+    /**
+     * Tells whether this VM has listened long enough to know which VMs of its data centre are alive.
+     *
+     * @return false for the suspicion period after the start
+     */
+    public boolean hasListened() {
+        return listened;
+    }
+
     /**
      * Gives this VM's own process.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/slots/HeldGrants.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/slots/HeldGrants.java
@@ -40,6 +40,15 @@
         return fence != null && g.compareTo(fence) < 0;
     }
 
+    /**
+     * Gives the latest owner that was reported to.
+     *
+     * @return its generation, 0 if there was none
+     */
+    public long fence() {
+        return fence == null ? 0 : fence.number();
+    }
+
     /**
      * Forgets a grant whose request has ended.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/slots/SlotRouter.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/slots/SlotRouter.java
@@ -139,7 +139,13 @@
         return isHomeRegion(r) ? Duration.ZERO : delays.getOrDefault(r, Duration.ofSeconds(1));
     }
 
-    private SlotLoad load(DataCentreName d) {
+    /**
+     * Gives the load that was last heard of.
+     *
+     * @param d the owner's data centre
+     * @return its load at some earlier moment, {@link SlotLoad#NONE} if none was heard
+     */
+    public SlotLoad load(DataCentreName d) {
         return loads.getOrDefault(d, SlotLoad.NONE);
     }
 }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -30,9 +30,9 @@
 import org.lycheetray.daemon.running.Running;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.status.StatusReport;
-import org.lycheetray.daemon.steering.DeclaredVms;
 import org.lycheetray.daemon.steering.FleetMembership;
 import org.lycheetray.daemon.steering.FleetSlots;
+import org.lycheetray.daemon.steering.RankedVms;
 import org.lycheetray.platform.PlatformClient;
 import org.lycheetray.platform.PlatformSettings;
 
@@ -80,7 +80,7 @@
                 clock,
                 lifecycle,
                 config,
-                new DeclaredVms(config, settings.dataCentre()),
+                new RankedVms(fleet, control, poller, settings.dataCentre(), clock),
                 pipeline,
                 observers(metrics::finished, ledger),
                 metrics,
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/FleetSlots.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/FleetSlots.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -39,6 +40,7 @@
 import org.lycheetray.daemon.request.SlotGate;
 import org.lycheetray.daemon.running.ServerHealth;
 import org.lycheetray.daemon.steering.internal.MessageUtil;
+import org.lycheetray.protocol.generated.Holdings;
 import org.lycheetray.protocol.generated.HoldingsQuestion;
 import org.lycheetray.protocol.generated.LoadQuestion;
 import org.lycheetray.protocol.generated.Noted;
@@ -150,10 +152,14 @@
                 .map(Vm::dataCentre)
                 .orElseThrow(() -> new IllegalStateException("undeclared VM " + owner.vm()));
         OwnerGeneration generation = new OwnerGeneration(q.getGeneration(), owner);
-        return grants(new ServiceName(q.getServiceName()), from)
-                .report(generation, clock.monotonic())
+        HeldGrants grants = grants(new ServiceName(q.getServiceName()), from);
+        return grants.report(generation, clock.monotonic())
                 .map(h -> Reply.holdings(MessageUtil.toHoldings(h)))
-                .orElseThrow(() -> new IllegalStateException("a later owner has already asked"));
+                .orElseGet(() -> {
+                    Holdings fenced = MessageUtil.toHoldings(List.of());
+                    fenced.setLaterGeneration(grants.fence());
+                    return Reply.holdings(fenced);
+                });
     }
 
     private HeldGrants grants(ServiceName service, DataCentreName dataCentre) {
@@ -174,9 +180,9 @@
 
     private void askHoldings(SlotOwners.ReportDue due, ActiveConfig c, Membership m) {
         if (due.holder().equals(self.vm())) {
-            grants(due.service(), m.home())
-                    .report(due.generation(), clock.monotonic())
-                    .ifPresent(h -> owners.reported(due, h));
+            HeldGrants own = grants(due.service(), m.home());
+            own.report(due.generation(), clock.monotonic())
+                    .ifPresentOrElse(h -> owners.reported(due, h), () -> owners.outrun(due, own.fence()));
             return;
         }
         HoldingsQuestion q =
@@ -185,18 +191,24 @@
         vm.ifPresent(v -> {
             var _ = peers.call(v.peers(), Request.holdingsQuestion(q), PEER_TIMEOUT)
                     .publishOn(control.scheduler())
-                    .subscribe(
-                            r -> peers.connectedTo(v.peers())
-                                    .ifPresent(i -> owners.reported(due, MessageUtil.held(i, r.getHoldings()))),
-                            e -> {});
+                    .subscribe(r -> reported(due, v, r.getHoldings()), e -> {});
         });
     }
 
+    private void reported(SlotOwners.ReportDue due, Vm holder, Holdings h) {
+        if (h.isSetLaterGeneration()) {
+            owners.outrun(due, h.getLaterGeneration());
+            return;
+        }
+        peers.connectedTo(holder.peers()).ifPresent(i -> owners.reported(due, MessageUtil.held(i, h)));
+    }
+
     private void askLoads() {
         fleet.membership()
                 .ifPresent(m -> config.active().ifPresent(c -> {
                     for (Service s : c.manifest().services()) {
                         RoutedService routed = routed(s, c, m);
+                        aim(s, routed, c, m);
                         for (DataCentreName d : dataCentres(s.name(), c)) {
                             askLoad(s.name(), d, routed, c, m);
                         }
@@ -204,6 +216,13 @@
                 }));
     }
 
+    private void aim(Service s, RoutedService routed, ActiveConfig c, Membership m) {
+        RegionConditions conditions = new RegionConditions(c, m, clock.instant());
+        routed.limiter()
+                .aim(conditions.shares(
+                        s, c.region(m.home()), d -> routed.router().load(d)));
+    }
+
     private void askLoad(ServiceName s, DataCentreName d, RoutedService routed, ActiveConfig c, Membership m) {
         Optional<Incarnation> owner = OwnerChoice.owner(s, d, m.members(d));
         if (owner.isEmpty() || owner.get().equals(self)) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/SlotOwners.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/SlotOwners.java
@@ -10,14 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lycheetray.core.health.UsableServer;
-import org.lycheetray.core.membership.Member;
 import org.lycheetray.core.membership.MemberState;
 import org.lycheetray.core.membership.Membership;
 import org.lycheetray.core.model.BackendServer;
-import org.lycheetray.core.model.DataCentre;
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.model.Service;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.Vm;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.slots.AskId;
 import org.lycheetray.core.slots.HeldGrant;
@@ -41,6 +40,7 @@
     private final Clock clock;
     private final ServerHealth health;
     private final Map<ServiceName, SlotOwner> owners = new HashMap<>();
+    private final Map<ServiceName, Long> laterThan = new HashMap<>();
     private final Map<AskId, Waiting> waiting = new HashMap<>();
 
     private record Waiting(ServiceName service, MonoSink<SlotEffect> sink) {}
@@ -57,9 +57,10 @@
         MonotonicTime now = clock.monotonic();
         List<ReportDue> due = new ArrayList<>();
         for (Service s : config.manifest().services()) {
-            boolean own = OwnerChoice.owner(s.name(), membership.home(), membership.members(membership.home()))
-                    .filter(membership.self()::equals)
-                    .isPresent();
+            boolean own = membership.hasListened()
+                    && OwnerChoice.owner(s.name(), membership.home(), membership.members(membership.home()))
+                            .filter(membership.self()::equals)
+                            .isPresent();
             if (!own) {
                 giveUp(s.name());
                 continue;
@@ -73,14 +74,12 @@
 
     private SlotOwner create(Service s, ActiveConfig config, Membership membership, MonotonicTime now) {
         Set<VmName> holders = new HashSet<>();
-        for (DataCentre d : config.manifest().dataCentres()) {
-            for (Member m : membership.members(d.name())) {
-                if (m.state() != MemberState.DEAD) {
-                    holders.add(m.incarnation().vm());
-                }
-            }
-        }
-        OwnerGeneration generation = new OwnerGeneration(clock.instant().toEpochMilli(), membership.self());
+        config.manifest().vms().stream()
+                .map(Vm::name)
+                .filter(v -> membership.state(v) != MemberState.DEAD)
+                .forEach(holders::add);
+        OwnerGeneration generation = new OwnerGeneration(
+                Math.max(clock.instant().toEpochMilli(), laterThan.getOrDefault(s.name(), 0L) + 1), membership.self());
         Duration longest = s.timeout();
         return SlotOwner.create(generation, SlotOwnerSettings.ofQueueLimit(s.queueLimit()), holders, longest, now);
     }
@@ -141,6 +140,15 @@
         }
     }
 
+    /** Starts anew as a later owner, because another one that still believes to be the owner has a later generation. */
+    void outrun(ReportDue due, long laterGeneration) {
+        laterThan.merge(due.service(), laterGeneration, Math::max);
+        SlotOwner owner = owners.get(due.service());
+        if (owner != null && owner.generation().equals(due.generation())) {
+            giveUp(due.service());
+        }
+    }
+
     void holderDied(Incarnation holder) {
         owners.values().forEach(o -> answer(o.holderDied(holder, clock.monotonic())));
     }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/internal/MessageUtil.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/steering/internal/MessageUtil.java
@@ -226,7 +226,9 @@
         List<HeldSlot> slots = new ArrayList<>();
         held.forEach(h -> slots.add(
                 new HeldSlot(h.id().number(), h.server().value(), h.timeLeft().toMillis())));
-        return new Holdings(slots);
+        Holdings h = new Holdings();
+        h.setHeld(slots);
+        return h;
     }
 
     /**
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -128,6 +128,8 @@
 
 struct Holdings {
   1: list<HeldSlot> held
+  /** Set if an owner of this later generation has asked already; nothing is reported then. */
+  2: optional i64 laterGeneration
 }
 
 union Request {
