--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/admission/RateSharesTest.java
@@ -0,0 +1,92 @@
+package org.lycheetray.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.Incarnation;
+import org.lycheetray.core.model.Rate;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+
+class RateSharesTest {
+    private static final VmName SELF = Manifests.vm(0);
+    private static final VmName PEER = Manifests.vm(1);
+    private static final MonotonicTime START = MonotonicTime.ZERO;
+    private static final Duration WAIT = Duration.ofSeconds(1);
+
+    private final RateShares shares = new RateShares(new Incarnation(SELF, 1), RateSharesOptions.DEFAULT);
+
+    @BeforeEach
+    void configure() {
+        shares.onConfig(List.of(Manifests.of(new Rate(1, 12), 2)), START);
+    }
+
+    @Test
+    void processWithoutItsShareAdmitsNothing() {
+        assertThat(admit(START.plus(Duration.ofHours(1)))).isNotInstanceOf(RateDecision.Admitted.class);
+    }
+
+    @Test
+    void callerThatWaitsForRetryAfterAndIsAloneIsAdmitted() {
+        shares.hold(SELF, START, START);
+        shares.onUnreachable(Set.of(PEER));
+        MonotonicTime now = START.plus(Duration.ofHours(1));
+        RateDecision d = admit(now);
+        while (d instanceof RateDecision.Admitted) {
+            d = admit(now);
+        }
+
+        Duration retryAfter = ((RateDecision.Refused) d).retryAfter();
+
+        assertThat(admit(now.plus(retryAfter))).isInstanceOf(RateDecision.Admitted.class);
+    }
+
+    @Test
+    void doubledRequestGetsTheSameAnswerAndIsLentOnce() {
+        shares.hold(SELF, START, START);
+        MonotonicTime now = START.plus(Duration.ofHours(1));
+        LoanId id = new LoanId(new Incarnation(PEER, 1), 1);
+        LoanMessage request =
+                new LoanMessage.Request(id, Manifests.ACCOUNT, RateShare.TOKEN, RateShare.TOKEN / 4, true);
+
+        List<RateEffect> first = shares.onMessage(PEER, request, now);
+        RateShare left = shares.held(Manifests.ACCOUNT, now);
+
+        assertThat(shares.onMessage(PEER, request, now)).isEqualTo(first);
+        assertThat(shares.held(Manifests.ACCOUNT, now)).isEqualTo(left);
+    }
+
+    @Test
+    void loanComesBackWhenItHasLapsed() {
+        shares.hold(SELF, START, START);
+        MonotonicTime now = START.plus(Duration.ofHours(1));
+        RateShare whole = shares.held(Manifests.ACCOUNT, now);
+        LoanId id = new LoanId(new Incarnation(PEER, 1), 1);
+        shares.onMessage(PEER, new LoanMessage.Request(id, Manifests.ACCOUNT, RateShare.TOKEN, 0, true), now);
+
+        MonotonicTime lapse = now.plus(RateSharesOptions.DEFAULT.rest());
+
+        assertThat(shares.held(Manifests.ACCOUNT, lapse.plus(Duration.ofNanos(-1))))
+                .isNotEqualTo(whole);
+        assertThat(shares.held(Manifests.ACCOUNT, lapse)).isEqualTo(whole);
+    }
+
+    @Test
+    void accountThatIsNotDeclaredIsRefused() {
+        Admission a = shares.admit(new ClientAccountName("other"), START.plus(WAIT), START);
+
+        assertThat(a.decision())
+                .isInstanceOfSatisfying(
+                        RateDecision.Refused.class,
+                        r -> assertThat(r.reason()).isEqualTo(RateDecision.Reason.UNKNOWN_ACCOUNT));
+    }
+
+    private RateDecision admit(MonotonicTime now) {
+        return shares.admit(Manifests.ACCOUNT, now.plus(WAIT), now).decision();
+    }
+}
