--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
@@ -15,10 +15,10 @@
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.request.Answer;
 import org.lycheetray.daemon.request.AttemptResult;
-import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.ClaimGate;
 import org.lycheetray.daemon.request.RateLimits;
 import org.lycheetray.daemon.request.Refusal;
+import org.lycheetray.daemon.request.RequestBody;
 import org.lycheetray.daemon.request.RequestContext;
 import org.lycheetray.daemon.request.RequestGates;
 import org.lycheetray.daemon.request.RequestPipeline;
@@ -52,7 +52,7 @@
     /** One request on its way through its attempts; used by one attempt at a time. */
     private static final class Run {
         private final RequestContext request;
-        private final Body body;
+        private final RequestBody body;
         private final String digest;
         private final HttpHeaders headers;
         private final Optional<RateLimits> limits;
@@ -65,7 +65,7 @@
 
         Run(
                 RequestContext request,
-                Body body,
+                RequestBody body,
                 String digest,
                 Optional<RateLimits> limits,
                 Optional<ClaimGate.Claim> claim) {
@@ -84,7 +84,7 @@
      * Runs a request that has been admitted and, where needed, claimed.
      *
      * @param request the request
-     * @param body its whole body
+     * @param body its body
      * @param digest identity of its content
      * @param limits state of the client account's rate
      * @param claim the claim to end, empty unless the route is of class {@code once}
@@ -92,7 +92,7 @@
      */
     public Mono<Response> run(
             RequestContext request,
-            Body body,
+            RequestBody body,
             String digest,
             Optional<RateLimits> limits,
             Optional<ClaimGate.Claim> claim) {
@@ -201,6 +201,7 @@
 
     private boolean mayRetry(Run run, AttemptResult last) {
         return run.attempts < MAX_ATTEMPTS
+                && run.body.isReplayable()
                 && clock.monotonic().isBefore(run.request.deadline())
                 && gates.attempts().mayRetry(run.request, last);
     }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/BackendClient.java
@@ -20,7 +20,9 @@
 import org.lycheetray.daemon.request.Answer;
 import org.lycheetray.daemon.request.AttemptResult;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.daemon.request.RequestBody;
 import org.lycheetray.daemon.request.RequestContext;
+import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -47,6 +49,7 @@
     static final String MATCH_ANSWER = "match-answer";
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration STREAM_IDLE_LIMIT = Duration.ofSeconds(5);
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(20);
     private static final int CONNECTIONS_PER_SERVER = 32;
     private static final int STATUS_UNAVAILABLE = 503;
@@ -76,10 +79,11 @@
      * @param server backend server to use
      * @param request the request
      * @param headers headers for the backend server, without the caller's key
-     * @param body the body
+     * @param body its body
      * @return how the attempt ended; never an error
      */
-    public Mono<AttemptResult> attempt(BackendServer server, RequestContext request, HttpHeaders headers, Body body) {
+    public Mono<AttemptResult> attempt(
+            BackendServer server, RequestContext request, HttpHeaders headers, RequestBody body) {
         Duration left = request.deadline().since(clock.monotonic());
         if (left.isNegative() || left.isZero()) {
             return Mono.just(new AttemptResult.NotRun(BEFORE_SEND, "deadline passed", false));
@@ -87,6 +91,7 @@
         AtomicBoolean sent = new AtomicBoolean();
         return client(server.endpoint())
                 .headers(h -> fill(h, request, headers, left))
+                .headers(h -> length(h, body))
                 .doOnRequest((req, c) -> sent.set(true))
                 .request(HttpMethod.valueOf(request.head().method()))
                 .uri(request.head().uri())
@@ -118,7 +123,21 @@
         request.account().map(ClientAccountName::value).ifPresent(a -> h.set(HeaderUtil.ACCOUNT, a));
     }
 
-    private static Mono<ByteBuf> content(Body body) {
+    /** Declares the length of a streamed body, so that the backend server notices a body that breaks off. */
+    private static void length(HttpHeaders h, RequestBody body) {
+        if (body instanceof RequestBody.Streamed s && s.declaredLength() >= 0) {
+            h.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(s.declaredLength()));
+        }
+    }
+
+    private static Publisher<ByteBuf> content(RequestBody body) {
+        return switch (body) {
+            case RequestBody.Held h -> held(h.body());
+            case RequestBody.Streamed s -> s.content();
+        };
+    }
+
+    private static Mono<ByteBuf> held(Body body) {
         return body.bytes().length == 0 ? Mono.empty() : Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body.bytes()));
     }
 
@@ -143,7 +162,12 @@
                     .defaultIfEmpty(Body.EMPTY.bytes())
                     .map(bytes -> new AttemptResult.Answered(new Answer.Whole(status, headers, new Body(bytes))));
         }
-        Flux<ByteBuf> content = c.inbound().receive().retain().doOnCancel(c::dispose);
+        Flux<ByteBuf> content = c.inbound()
+                .receive()
+                .retain()
+                .timeout(STREAM_IDLE_LIMIT)
+                .doOnError(e -> c.dispose())
+                .doOnCancel(c::dispose);
         return Mono.just(new AttemptResult.Answered(new Answer.Streamed(status, headers, content)));
     }
 
