--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/BackendServerStandin.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/BackendServerStandin.java
@@ -22,7 +22,7 @@
      * Starts the servers.
      *
      * @param args {@code --manifest FILE}, and optionally {@code --service-ms N} or {@code --service-ms SERVICE=N},
-     *     repeated, {@code --restart-ms N}, {@code --seed N}
+     *     repeated, {@code --restart-ms N}, {@code --remember-runs N}, {@code --seed N}
      * @throws IOException if the manifest cannot be read
      * @throws InterruptedException if the thread is interrupted
      */
@@ -31,10 +31,12 @@
                 .addRequiredOption(null, "manifest", true, "manifest that declares the backend servers")
                 .addOption(null, "service-ms", true, "mean run time, N for all services or SERVICE=N, repeatable")
                 .addOption(null, "restart-ms", true, "milliseconds for which a crashed server refuses, default 3000")
+                .addOption(null, "remember-runs", true, "latest runs that are remembered, default 200000")
                 .addOption(null, "seed", true, "seed of the run times, default 1");
         CommandLine line = StandinCommandLine.parse("BackendServerStandin", options, args);
         BackendStandinSettings settings = new BackendStandinSettings(manifest(line.getOptionValue("manifest")))
                 .restartTime(Duration.ofMillis(Long.parseLong(line.getOptionValue("restart-ms", "3000"))))
+                .rememberedRuns(Integer.parseInt(line.getOptionValue("remember-runs", "200000")))
                 .seed(Long.parseLong(line.getOptionValue("seed", "1")));
         addServiceTimes(settings, line);
         try (BackendStandinFleet fleet = BackendStandinFleet.create(settings)) {
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendStandinSettings.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendStandinSettings.java
@@ -15,6 +15,7 @@
     private Duration standardTime = Duration.ofMillis(10);
     private Duration restartTime = Duration.ofSeconds(3);
     private long seed = 1;
+    private int rememberedRuns = 200_000;
 
     /**
      * Creates settings with defaults for all but the manifest.
@@ -59,6 +60,20 @@
         return this;
     }
 
+    /**
+     * Sets how many of the latest runs are remembered.
+     *
+     * @param runs 1 or more
+     * @return this
+     */
+    public BackendStandinSettings rememberedRuns(int runs) {
+        if (runs < 1) {
+            throw new IllegalArgumentException("remembered runs must be at least 1: " + runs);
+        }
+        rememberedRuns = runs;
+        return this;
+    }
+
     /**
      * Sets the seed of the service times.
      *
@@ -82,6 +97,10 @@
         return restartTime;
     }
 
+    int rememberedRuns() {
+        return rememberedRuns;
+    }
+
     ServiceTimes serviceTimes() {
         return new ServiceTimes(serviceTimes, standardTime, seed);
     }
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/RunLog.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/RunLog.java
@@ -6,15 +6,18 @@
 
 /** Remembers the latest runs of all servers. */
 final class RunLog {
-    private static final int MAX_RUNS = 200_000;
-
     private final NavigableMap<Long, Run> runs = new TreeMap<>();
+    private final int limit;
     private long next;
 
+    RunLog(int limit) {
+        this.limit = limit;
+    }
+
     synchronized Run add(Run run) {
         Run numbered = run.at(next++);
         runs.put(numbered.number(), numbered);
-        if (runs.size() > MAX_RUNS) {
+        if (runs.size() > limit) {
             runs.pollFirstEntry();
         }
         return numbered;
