Measure failures on real daemons; a poison request's resend cannot overtake the news of its crash

Change: a dropped probe is repeated; the caller of a lost attempt is told after the peers have noted the crash, within a bound; a retry within the VM checks the quarantine again. Conclusion: the bound holds for resends that follow one another; copies sent at once are not covered.

--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/AttemptGate.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/AttemptGate.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.lycheetray.core.model.BackendServer;
 import org.lycheetray.core.model.BackendServerName;
+import reactor.core.publisher.Mono;
 
 /** Watches attempts and decides what may be tried again. */
 public interface AttemptGate {
@@ -20,10 +21,11 @@
      * Takes part of the client account's retry budget, unless nothing reached a backend server.
      *
      * @param request the request
+     * @param digest identity of its content
      * @param last how the last attempt ended
-     * @return true if another attempt is within the budget
+     * @return true if another attempt is within the budget and the request is not quarantined
      */
-    boolean mayRetry(RequestContext request, AttemptResult last);
+    boolean mayRetry(RequestContext request, String digest, AttemptResult last);
 
     /**
      * Gives the servers on which the request must not run at present, because it and another request there are both
@@ -44,12 +46,14 @@
     void started(BackendServer server, RequestContext request, String digest);
 
     /**
-     * Notes how an attempt ended.
+     * Notes how an attempt ended, at once.
      *
      * @param server the backend server
      * @param request the request
      * @param digest identity of its content
      * @param result how it ended
+     * @return completes when the caller may be told: at once, but for a lost connection, where the fleet first hears of a
+     *     crash, so that the caller's resend cannot overtake the news
      */
-    void ended(BackendServer server, RequestContext request, String digest, AttemptResult result);
+    Mono<Void> ended(BackendServer server, RequestContext request, String digest, AttemptResult result);
 }
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/AttemptLoop.java
@@ -139,25 +139,28 @@
         run.outcome.dispatched();
         gates.attempts().started(slot.server(), run.request, run.digest);
         return client.attempt(slot.server(), run.request, run.headers, run.body)
-                .doOnCancel(
-                        () -> ended(run, slot, new AttemptResult.Uncertain("cancel", "the caller went away", false)))
-                .map(result -> settled(run, slot, result))
+                .doOnCancel(() -> {
+                    var _ = ended(run, slot, new AttemptResult.Uncertain("cancel", "the caller went away", false))
+                            .subscribe();
+                })
+                .flatMap(result -> settled(run, slot, result))
                 .flatMap(result -> decide(run, result));
     }
 
     /** Ends the attempt; that of a streamed answer ends with its content. */
-    private AttemptResult settled(Run run, SlotGate.Slot slot, AttemptResult result) {
+    private Mono<AttemptResult> settled(Run run, SlotGate.Slot slot, AttemptResult result) {
         if (result instanceof AttemptResult.Answered(Answer.Streamed s)) {
-            Flux<ByteBuf> content = s.content().doFinally(signal -> ended(run, slot, result));
-            return new AttemptResult.Answered(new Answer.Streamed(s.status(), s.headers(), content));
+            Flux<ByteBuf> content = s.content().doFinally(signal -> {
+                var _ = ended(run, slot, result).subscribe();
+            });
+            return Mono.just(new AttemptResult.Answered(new Answer.Streamed(s.status(), s.headers(), content)));
         }
-        ended(run, slot, result);
-        return result;
+        return ended(run, slot, result).thenReturn(result);
     }
 
-    private void ended(Run run, SlotGate.Slot slot, AttemptResult result) {
+    private Mono<Void> ended(Run run, SlotGate.Slot slot, AttemptResult result) {
         slot.release(result);
-        gates.attempts().ended(slot.server(), run.request, run.digest, result);
+        return gates.attempts().ended(slot.server(), run.request, run.digest, result);
     }
 
     private Mono<Response> decide(Run run, AttemptResult result) {
@@ -202,7 +205,7 @@
     private boolean mayRetry(Run run, AttemptResult last) {
         return run.attempts < MAX_ATTEMPTS
                 && clock.monotonic().isBefore(run.request.deadline())
-                && gates.attempts().mayRetry(run.request, last);
+                && gates.attempts().mayRetry(run.request, run.digest, last);
     }
 
     /** A refusal says not run only if that is proved of all attempts. */
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/HealthProbe.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/HealthProbe.java
@@ -5,11 +5,14 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.concurrent.TimeoutException;
 import org.lycheetray.core.health.HealthReport;
 import org.lycheetray.core.model.BackendServer;
+import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
+import reactor.util.retry.Retry;
 
 /** Asks backend servers for their health over connections of its own. */
 public final class HealthProbe implements AutoCloseable {
@@ -17,6 +20,8 @@
     private static final Duration TIMEOUT = Duration.ofMillis(800);
     private static final int CONNECTIONS_PER_SERVER = 1;
     private static final int OK = 200;
+    private static final int DROPPED_TRIES = 5;
+    private static final Duration DROPPED_PAUSE = Duration.ofMillis(30);
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final ConnectionProvider connections = ConnectionProvider.create("health", CONNECTIONS_PER_SERVER);
@@ -42,10 +47,13 @@
     }
 
     /**
-     * Tells whether a server refuses new connections, as it does after a crash.
+     * Tells whether a server takes no connections any more, as after a crash.
+     *
+     * <p>While a process dies, its socket may still accept connections and drop them, so a dropped one is tried again.
+     * Silence says nothing: a crash is refusal.
      *
      * @param server the server
-     * @return true if a fresh connection was refused
+     * @return true if fresh connections were refused or dropped
      */
     public Mono<Boolean> refusesConnections(BackendServer server) {
         return HttpClient.newConnection()
@@ -55,7 +63,9 @@
                 .response()
                 .map(r -> false)
                 .timeout(TIMEOUT)
-                .onErrorResume(e -> Mono.just(e instanceof ConnectException));
+                .onErrorResume(ConnectException.class, e -> Mono.just(true))
+                .retryWhen(Retry.fixedDelay(DROPPED_TRIES, DROPPED_PAUSE).filter(e -> !(e instanceof TimeoutException)))
+                .onErrorResume(e -> Mono.just(Exceptions.isRetryExhausted(e)));
     }
 
     private static String uri(BackendServer server) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/SuspectExchange.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/SuspectExchange.java
@@ -34,7 +34,7 @@
  * <p>Either way alone is enough to quarantine a request; both together bridge a store outage and a network partition.
  */
 public final class SuspectExchange {
-    private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
     private static final Duration READ_RETRY = Duration.ofSeconds(5);
     private static final int WRITE_TRIES = 3;
 
@@ -80,27 +80,29 @@
     }
 
     /**
-     * Sends records to the fleet; does not wait.
+     * Sends records to the fleet and, in the background, to the table.
      *
      * @param records the records
+     * @return completes when every peer has noted them or had time enough; never an error
      */
-    void publish(List<SuspectRecord> records) {
+    Mono<Void> publish(List<SuspectRecord> records) {
         if (records.isEmpty()) {
-            return;
+            return Mono.empty();
         }
         List<String> texts = records.stream().map(SuspectRecordCodec::encode).toList();
         Request news = Request.suspectNews(new SuspectNews(new ArrayList<>(texts)));
-        config.active().stream()
-                .flatMap(c -> c.manifest().vms().stream())
-                .filter(vm -> !vm.name().equals(self.vm()))
-                .forEach(vm -> tell(vm, news));
         var _ = Flux.fromIterable(records)
                 .concatMap(r -> keep(r, WRITE_TRIES).onErrorResume(e -> Mono.empty()))
                 .subscribe();
+        List<Vm> others = config.active().stream()
+                .flatMap(c -> c.manifest().vms().stream())
+                .filter(vm -> !vm.name().equals(self.vm()))
+                .toList();
+        return Flux.fromIterable(others).flatMap(vm -> tell(vm, news)).then();
     }
 
-    private void tell(Vm vm, Request news) {
-        var _ = peers.call(vm.peers(), news, PEER_TIMEOUT).subscribe(r -> {}, e -> {});
+    private Mono<Reply> tell(Vm vm, Request news) {
+        return peers.call(vm.peers(), news, PEER_TIMEOUT).onErrorResume(e -> Mono.empty());
     }
 
     private Mono<WriteResult> keep(SuspectRecord r, int tries) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/WatchedAttempts.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/running/WatchedAttempts.java
@@ -1,5 +1,6 @@
 package org.lycheetray.daemon.running;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,6 +23,7 @@
 import org.lycheetray.daemon.request.AttemptResult;
 import org.lycheetray.daemon.request.Refusal;
 import org.lycheetray.daemon.request.RequestContext;
+import reactor.core.publisher.Mono;
 
 /**
  * Watches attempts: feeds the health of servers, keeps retries within their budget and finds requests that crash servers.
@@ -32,6 +34,9 @@
     /** Step of an attempt that ended because its caller left. */
     private static final String CANCEL = "cancel";
 
+    /** Longest time for which a caller waits for the fleet to hear of a crash. */
+    private static final Duration NEWS_LIMIT = Duration.ofSeconds(2);
+
     private static final ClientAccountName OPEN_ROUTES = new ClientAccountName("open");
 
     private final ServerHealth health;
@@ -42,6 +47,7 @@
     private final RetryBudget budget = new RetryBudget();
     private final Map<BackendServerName, Map<RequestId, RequestDigest>> inFlight = new HashMap<>();
     private final Map<BackendServerName, Set<RequestDigest>> broken = new HashMap<>();
+    private final Map<BackendServerName, Mono<Void>> probing = new HashMap<>();
     private long retries;
 
     /**
@@ -69,7 +75,10 @@
     }
 
     @Override
-    public synchronized boolean mayRetry(RequestContext request, AttemptResult last) {
+    public synchronized boolean mayRetry(RequestContext request, String digest, AttemptResult last) {
+        if (suspects.isQuarantined(new RequestDigest(digest), clock.instant())) {
+            return false;
+        }
         boolean reachedNobody = last instanceof AttemptResult.NotRun n && !n.shed();
         boolean granted = reachedNobody || budget.tryRetry(request.account().orElse(OPEN_ROUTES));
         retries += granted && !reachedNobody ? 1 : 0;
@@ -96,23 +105,26 @@
     }
 
     @Override
-    public void ended(BackendServer server, RequestContext request, String digest, AttemptResult result) {
+    public Mono<Void> ended(BackendServer server, RequestContext request, String digest, AttemptResult result) {
         boolean callerGone =
                 result instanceof AttemptResult.Uncertain u && u.step().equals(CANCEL);
         health.observe(server, result, callerGone);
         boolean lost = result instanceof AttemptResult.Uncertain u && !u.timedOut() && !callerGone;
         RequestDigest d = new RequestDigest(digest);
-        synchronized (this) {
-            Optional.ofNullable(inFlight.get(server.name())).ifPresent(m -> m.remove(request.id()));
-            if (result instanceof AttemptResult.Answered) {
-                suspects.answered(d, clock.instant()).ifPresent(r -> exchange.publish(List.of(r)));
-            }
-        }
+        release(server, request, d, result);
         if (!(result instanceof AttemptResult.Answered)) {
             log(server, request, result);
         }
-        if (lost) {
-            lost(server, d);
+        return lost ? lost(server, d) : Mono.empty();
+    }
+
+    private synchronized void release(
+            BackendServer server, RequestContext request, RequestDigest d, AttemptResult result) {
+        Optional.ofNullable(inFlight.get(server.name())).ifPresent(m -> m.remove(request.id()));
+        if (result instanceof AttemptResult.Answered) {
+            suspects.answered(d, clock.instant()).ifPresent(r -> {
+                var _ = exchange.publish(List.of(r)).subscribe();
+            });
         }
     }
 
@@ -140,21 +152,24 @@
     }
 
     /** A connection was lost with a request on it: if new ones are refused as well, the server has crashed. */
-    private void lost(BackendServer server, RequestDigest digest) {
-        boolean first;
-        synchronized (this) {
-            first = !broken.containsKey(server.name());
-            broken.computeIfAbsent(server.name(), s -> new HashSet<>()).add(digest);
-        }
-        if (first) {
-            var _ = probe.refusesConnections(server).subscribe(refused -> probed(server, refused));
-        }
+    private synchronized Mono<Void> lost(BackendServer server, RequestDigest digest) {
+        broken.computeIfAbsent(server.name(), s -> new HashSet<>()).add(digest);
+        return probing.computeIfAbsent(server.name(), s -> {
+            Mono<Void> probed = probe.refusesConnections(server)
+                    .flatMap(refused -> probed(server, refused))
+                    .timeout(NEWS_LIMIT)
+                    .onErrorComplete()
+                    .cache();
+            var _ = probed.subscribe();
+            return probed;
+        });
     }
 
-    private synchronized void probed(BackendServer server, boolean refused) {
+    private synchronized Mono<Void> probed(BackendServer server, boolean refused) {
+        probing.remove(server.name());
         Set<RequestDigest> digests = broken.remove(server.name());
         if (!refused) {
-            return;
+            return Mono.empty();
         }
         digests.addAll(inFlight.getOrDefault(server.name(), Map.of()).values());
         LogEvent.of("backend-server-crashed")
@@ -162,7 +177,7 @@
                 .with("peer", server.name())
                 .with("in-flight", digests.size())
                 .warn();
-        exchange.publish(suspects.crashed(server.name(), digests, clock.instant()));
+        return exchange.publish(suspects.crashed(server.name(), digests, clock.instant()));
     }
 
     private static void log(BackendServer server, RequestContext request, AttemptResult result) {
--- /dev/null
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/running/HealthProbeTest.java
@@ -0,0 +1,64 @@
+package org.lycheetray.daemon.running;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.BackendServer;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.ServiceName;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.tcp.TcpServer;
+
+class HealthProbeTest {
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+
+    private final HealthProbe probe = new HealthProbe();
+
+    @AfterEach
+    void close() {
+        probe.close();
+    }
+
+    @Test
+    void aServerThatAnswersTakesConnections() {
+        DisposableServer up = HttpServer.create()
+                .bindAddress(() -> ANY_PORT)
+                .handle((q, p) -> p.status(503).send())
+                .bindNow();
+        assertThat(refuses(up)).isFalse();
+        up.disposeNow();
+    }
+
+    @Test
+    void aStoppedServerRefusesConnections() {
+        DisposableServer gone = HttpServer.create().bindAddress(() -> ANY_PORT).bindNow();
+        gone.disposeNow();
+        assertThat(refuses(gone)).isTrue();
+    }
+
+    @Test
+    void aDyingServerThatDropsConnectionsRefusesThem() {
+        DisposableServer dying = TcpServer.create()
+                .bindAddress(() -> ANY_PORT)
+                .doOnConnection(c -> c.channel().close())
+                .bindNow();
+        assertThat(refuses(dying)).isTrue();
+        dying.disposeNow();
+    }
+
+    private boolean refuses(DisposableServer server) {
+        BackendServer b = new BackendServer(
+                new BackendServerName("b0"),
+                new ServiceName("orders"),
+                new DataCentreName("dc"),
+                new Endpoint("127.0.0.1", server.port()),
+                1,
+                1);
+        return Boolean.TRUE.equals(probe.refusesConnections(b).block());
+    }
+}
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
+import org.lycheetray.measure.failures.FailuresMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
 
 /** Entry point of {@code bin/measure}. */
 public final class Measure {
-    private static final List<Measurement> MEASUREMENTS = List.of(new AdmissionMeasurement(), new OnceMeasurement());
+    private static final List<Measurement> MEASUREMENTS =
+            List.of(new AdmissionMeasurement(), new OnceMeasurement(), new FailuresMeasurement());
 
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
