--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/running/HealthProbeTest.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/running/HealthProbeTest.java
@@ -45,7 +45,7 @@
     void aDyingServerThatDropsConnectionsRefusesThem() {
         DisposableServer dying = TcpServer.create()
                 .bindAddress(() -> ANY_PORT)
-                .doOnConnection(c -> c.channel().close())
+                .doOnConnection(c -> c.dispose())
                 .bindNow();
         assertThat(refuses(dying)).isTrue();
         dying.disposeNow();
