--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/running/HealthProbeTest.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/running/HealthProbeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -15,7 +16,7 @@
 import reactor.netty.tcp.TcpServer;
 
 class HealthProbeTest {
-    private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
     private final HealthProbe probe = new HealthProbe();
 
