--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/FrontFixture.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/FrontFixture.java
@@ -156,7 +156,7 @@
             }
 
             @Override
-            public boolean mayRetry(RequestContext request, AttemptResult last) {
+            public boolean mayRetry(RequestContext request, String digest, AttemptResult last) {
                 return false;
             }
 
@@ -169,7 +169,9 @@
             public void started(BackendServer server, RequestContext request, String digest) {}
 
             @Override
-            public void ended(BackendServer s, RequestContext request, String digest, AttemptResult result) {}
+            public Mono<Void> ended(BackendServer s, RequestContext request, String digest, AttemptResult result) {
+                return Mono.empty();
+            }
         };
     }
 
