--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -11,8 +11,7 @@
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.admission.FleetAdmission;
-import org.lycheetray.daemon.config.ConfigPoller;
-import org.lycheetray.daemon.config.ConfigView;
+import org.lycheetray.daemon.config.ConfigAgent;
 import org.lycheetray.daemon.control.ControlThread;
 import org.lycheetray.daemon.http.HttpFront;
 import org.lycheetray.daemon.http.HttpFrontParts;
@@ -45,7 +44,7 @@
     private final Clock clock;
     private final Closer closer = new Closer();
     private final Lifecycle lifecycle = new Lifecycle();
-    private final ConfigView config;
+    private final ConfigAgent config;
     private final FleetMembership membership;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -58,21 +57,21 @@
         PlatformClient platform =
                 closer.add("platform", PlatformClient.create(new PlatformSettings(settings.platform())));
         PeerNetwork peers = closer.add("peer-network", PeerNetwork.create(self, settings.fleetSecret(), clock));
-        ConfigPoller poller = closer.add("config", new ConfigPoller(platform, control, clock));
-        this.config = poller;
+        config = closer.add("config", ConfigAgent.create(self, settings, platform, peers, control, clock));
         LedgerRecorder ledger = closer.add(
                 "ledger", LedgerRecorder.create(self, LedgerLimits.standard(), platform.objects(), control, clock));
         BackendClient backend = closer.add("backend-client", new BackendClient(clock));
-        Running running = closer.add("running", Running.create(self, platform, control, peers, poller, clock));
+        Running running = closer.add("running", Running.create(self, platform, control, peers, config, clock));
         FleetAdmission admission =
-                closer.add("admission", FleetAdmission.create(self, control, clock, poller, peers, platform.tables()));
-        FleetMembership fleet = FleetMembership.create(self, platform, control, peers, poller, clock);
-        FleetSlots slots = FleetSlots.create(self, fleet, control, peers, poller, running.health(), clock);
+                closer.add("admission", FleetAdmission.create(self, control, clock, config, peers, platform.tables()));
+        FleetMembership fleet = FleetMembership.create(self, platform, control, peers, config, clock);
+        FleetSlots slots = FleetSlots.create(self, fleet, control, peers, config, running.health(), clock);
         this.membership = fleet;
-        RequestGates gates = new RequestGates(poller, admission, running.claims(), slots, running.attempts());
+        RequestGates gates = new RequestGates(config, admission, running.claims(), slots, running.attempts());
         RequestPipeline pipeline = new RequestPipeline(gates, backend, clock);
         StatusReport status = new StatusReport(control);
         status.section("process", node -> describe(self, settings, node));
+        status.section("config", config::describe);
         running.expose(metrics, status);
         status.section("membership", fleet::describe);
         status.section("slots", slots::describe);
@@ -82,7 +81,7 @@
                 clock,
                 lifecycle,
                 config,
-                new RankedVms(fleet, control, poller, settings.dataCentre(), clock),
+                new RankedVms(fleet, control, config, settings.dataCentre(), clock),
                 pipeline,
                 observers(metrics::finished, ledger),
                 metrics,
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
+import org.lycheetray.measure.config.ConfigMeasurement;
 import org.lycheetray.measure.failures.FailuresMeasurement;
 import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
@@ -13,6 +14,7 @@
 public final class Measure {
     private static final List<Measurement> MEASUREMENTS = List.of(
             new AdmissionMeasurement(), //
+            new ConfigMeasurement(), //
             new FailuresMeasurement(), //
             new LedgerMeasurement(), //
             new LookupMeasurement(), //
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/fleet/LocalFleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/fleet/LocalFleet.java
@@ -7,6 +7,7 @@
 import org.lycheetray.core.config.ConfigHead;
 import org.lycheetray.core.config.Submission;
 import org.lycheetray.core.config.SubmitResult;
+import org.lycheetray.core.model.ClientAccount;
 import org.lycheetray.core.model.ConfigVersion;
 import org.lycheetray.core.model.Manifest;
 import org.lycheetray.core.model.Vm;
@@ -94,12 +95,25 @@
     }
 
     /**
-     * Stops one VM as planned; returns when it has stopped.
+     * Gives the manifest with other client accounts.
      *
-     * @param vm position of the VM in the manifest
+     * @param accounts the accounts
+     * @return the changed manifest, not submitted yet
      */
-    public void stop(int vm) {
-        daemons.get(vm).close();
+    public Manifest with(List<ClientAccount> accounts) {
+        Manifest m = manifest;
+        return new Manifest(
+                m.regions(),
+                m.dataCentres(),
+                m.vms(),
+                m.links(),
+                m.services(),
+                m.backendServers(),
+                m.routes(),
+                accounts,
+                m.clientBlocks(),
+                m.plannedDrains(),
+                m.policy());
     }
 
     @Override
