--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/ConfigMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/config/ConfigMeasurement.java
@@ -19,6 +19,7 @@
 import org.lycheetray.measure.Figures;
 import org.lycheetray.measure.MeasureOptions;
 import org.lycheetray.measure.Measurement;
+import org.lycheetray.measure.fleet.LocalFleet;
 import org.lycheetray.standin.example.ExampleManifests;
 
 /**
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/FreePorts.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/fleet/FreePorts.java
@@ -1,4 +1,4 @@
-package org.lycheetray.measure.config;
+package org.lycheetray.measure.fleet;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/config/LocalFleet.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/fleet/LocalFleet.java
@@ -1,4 +1,4 @@
-package org.lycheetray.measure.config;
+package org.lycheetray.measure.fleet;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -26,7 +26,7 @@
 import org.lycheetray.standin.platform.PlatformStandinSettings;
 
 /** A platform stand-in, backend server stand-ins and one daemon for each declared VM, talking over loopback. */
-final class LocalFleet implements AutoCloseable {
+public final class LocalFleet implements AutoCloseable {
     private final Clock clock = Clock.system();
     private final Manifest manifest;
     private final PlatformStandinServer platform;
@@ -36,7 +36,14 @@
     private final List<Daemon> daemons = new ArrayList<>();
     private int submissions;
 
-    LocalFleet(Manifest example, long seed) throws IOException {
+    /**
+     * Starts everything.
+     *
+     * @param example the manifest, moved to free ports
+     * @param seed seed of the stand-ins
+     * @throws IOException if no ports are free
+     */
+    public LocalFleet(Manifest example, long seed) throws IOException {
         Logging.configure(LogFormat.KEY_VALUE, "error");
         manifest = FreePorts.move(example);
         platform = PlatformStandinServer.create(PlatformStandinSettings.anyPort()
@@ -47,22 +54,37 @@
         backends = BackendStandinFleet.create(new BackendStandinSettings(manifest)
                 .standardTime(Duration.ofMillis(2))
                 .seed(seed));
-        FleetSecret secret = FleetSecret.of("measure-config-" + seed + "-0123456789abcdef");
+        FleetSecret secret = FleetSecret.of("measure-fleet-" + seed + "-0123456789abcdef");
         for (Vm vm : manifest.vms()) {
             daemons.add(Daemon.create(settings(vm, secret), clock));
         }
     }
 
-    Manifest manifest() {
+    /**
+     * Gives the manifest with the ports in use.
+     *
+     * @return the manifest
+     */
+    public Manifest manifest() {
         return manifest;
     }
 
-    PlatformStandinServer platform() {
+    /**
+     * Gives the platform.
+     *
+     * @return the stand-in
+     */
+    public PlatformStandinServer platform() {
         return platform;
     }
 
-    /** Submits a manifest on the newest version and gives the version that it got. */
-    ConfigVersion submit(Manifest m) {
+    /**
+     * Submits a manifest on the newest version.
+     *
+     * @param m the manifest
+     * @return the version that it got
+     */
+    public ConfigVersion submit(Manifest m) {
         ConfigVersion base = config.head().block().map(ConfigHead::version).orElse(ConfigVersion.NONE);
         Submission submission = new Submission("measure-" + submissions++, "measure", clock.instant());
         SubmitResult result = config.submit(m, base, submission).block();
@@ -72,8 +94,13 @@
         throw new IllegalStateException("submission failed: " + result);
     }
 
-    /** The manifest with other client accounts. */
-    Manifest with(List<ClientAccount> accounts) {
+    /**
+     * Gives the manifest with other client accounts.
+     *
+     * @param accounts the accounts
+     * @return the changed manifest, not submitted yet
+     */
+    public Manifest with(List<ClientAccount> accounts) {
         Manifest m = manifest;
         return new Manifest(
                 m.regions(),
