--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/Measure.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.lycheetray.measure.admission.AdmissionMeasurement;
 import org.lycheetray.measure.config.ConfigMeasurement;
+import org.lycheetray.measure.failures.FailuresMeasurement;
 import org.lycheetray.measure.ledger.LedgerMeasurement;
 import org.lycheetray.measure.lookup.LookupMeasurement;
 import org.lycheetray.measure.once.OnceMeasurement;
@@ -14,6 +15,7 @@
     private static final List<Measurement> MEASUREMENTS = List.of(
             new AdmissionMeasurement(), //
             new ConfigMeasurement(), //
+            new FailuresMeasurement(), //
             new LedgerMeasurement(), //
             new LookupMeasurement(), //
             new OnceMeasurement(), //
