Load client starts requests one by one; stand-in may remember fewer runs

Cause: bin/measure path stalled for seconds at half load, on direct calls too. Suspects were full collections in the backend server stand-in (200,000 remembered runs) and the search of all requests in progress at each answer in the load client's flatMap.

--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/load/LoadClient.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/load/LoadClient.java
@@ -3,12 +3,15 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.LongStream;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -76,25 +79,36 @@
      * @param perSecond requests a second
      * @param length length of the run
      * @return what was seen; latency counts from the intended start
+     * @throws InterruptedException if the waiting thread is interrupted
      */
-    public LoadResult openLoop(LoadTarget target, double perSecond, Duration length) {
+    public LoadResult openLoop(LoadTarget target, double perSecond, Duration length) throws InterruptedException {
         Run run = new Run();
         long total = (long) (perSecond * length.toNanos() / NANOS_PER_SECOND);
+        CountDownLatch left = new CountDownLatch((int) total);
         AtomicLong started = new AtomicLong();
-        Flux.interval(TICK)
-                .onBackpressureDrop()
-                .takeWhile(t -> started.get() < total)
-                .concatMap(t -> due(run, perSecond, total, started))
-                .flatMap(at -> once(target, run, at), MAX_PENDING)
-                .blockLast();
+        Disposable ticks = Schedulers.parallel()
+                .schedulePeriodically(
+                        () -> startDue(target, run, perSecond, total, started, left),
+                        0,
+                        TICK.toMillis(),
+                        TimeUnit.MILLISECONDS);
+        try {
+            left.await();
+        } finally {
+            ticks.dispose();
+        }
         return run.result();
     }
 
-    private static Flux<Long> due(Run run, double perSecond, long total, AtomicLong started) {
+    /** Starts what is due; a subscription each, since a shared operator would search all of them at each answer. */
+    private void startDue(
+            LoadTarget target, Run run, double perSecond, long total, AtomicLong started, CountDownLatch left) {
         double gap = NANOS_PER_SECOND / perSecond;
-        long until = Math.min(total, (long) ((System.nanoTime() - run.start) / gap) + 1);
-        long from = started.getAndAccumulate(until, Math::max);
-        return Flux.fromStream(() -> LongStream.range(from, until).mapToObj(i -> run.start + (long) (i * gap)));
+        long due = Math.min(total, (long) ((System.nanoTime() - run.start) / gap) + 1);
+        while (started.get() < due) {
+            long start = run.start + (long) (started.getAndIncrement() * gap);
+            once(target, run, start).doFinally(signal -> left.countDown()).subscribe();
+        }
     }
 
     private Mono<Void> once(LoadTarget target, Run run, long start) {
--- a/lycheetray-measure/src/main/java/org/lycheetray/measure/path/PathMeasurement.java
+++ b/lycheetray-measure/src/main/java/org/lycheetray/measure/path/PathMeasurement.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void run(MeasureOptions options, Figures figures) throws IOException {
+    public void run(MeasureOptions options, Figures figures) throws IOException, InterruptedException {
         Duration length = Duration.ofSeconds(options.quick() ? 2 : 5);
         LoadTarget through = new LoadTarget(property("entry"), "/keyed/x", Optional.of("measure-key"));
         LoadTarget direct = new LoadTarget(property("backend"), "/keyed/x", Optional.empty());
@@ -65,7 +65,8 @@
     }
 
     private static void compare(
-            LoadClient client, LoadTarget through, LoadTarget direct, double rate, Duration length, Figures figures) {
+            LoadClient client, LoadTarget through, LoadTarget direct, double rate, Duration length, Figures figures)
+            throws InterruptedException {
         Histogram viaVm = new Histogram(3);
         Histogram straight = new Histogram(3);
         long failed = 0;
--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendStandinFleet.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendStandinFleet.java
@@ -17,11 +17,12 @@
 public final class BackendStandinFleet implements AutoCloseable {
     private static final String ALL = "*";
 
-    private final RunLog runs = new RunLog();
+    private final RunLog runs;
     private final Map<String, BackendStandinServer> servers = new LinkedHashMap<>();
     private final CountDownLatch closed = new CountDownLatch(1);
 
     private BackendStandinFleet(BackendStandinSettings s) {
+        runs = new RunLog(s.rememberedRuns());
         Map<ServiceName, Service> services = new LinkedHashMap<>();
         s.manifest().services().forEach(v -> services.put(v.name(), v));
         ServiceTimes times = s.serviceTimes();
