Stand-in: a finished exchange no longer listens for the end of its connection

The collector's log showed the backend server stand-in keeping 250 MB and pausing up to 430 ms: each request left a listener on its kept-alive connection. Ruled out: remembered runs, the load client's flatMap, the entry VM (its collections take 10 ms). Change: the listener is removed when the exchange ends. No focused test; the measurement is the check.

--- a/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendExchange.java
+++ b/lycheetray-standin/src/main/java/org/lycheetray/standin/backend/BackendExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Arrays;
@@ -54,7 +55,11 @@
 
     /** Completes when the caller's connection is closed. */
     Mono<Void> closed() {
-        return Mono.create(sink -> channel.closeFuture().addListener(_ -> sink.success()));
+        return Mono.create(sink -> {
+            ChannelFutureListener listener = _ -> sink.success();
+            var added = channel.closeFuture().addListener(listener);
+            sink.onDispose(() -> added.removeListener(listener));
+        });
     }
 
     Run toRun(BackendServer server, long start) {
