Edge: the path of a request where backend servers register themselves, and the platform's adapter

Cause: the users' platform describes services, accounts and drains in its own way, and its backend servers register themselves; the daemon knows declared servers only. New in core: traffic, registry, placement, quota, allowance, split, fleet (decisions without I/O). New module lycheetray-edge: connections, exchanges, reports between VMs, store follower.

The reports' socket was bound on the event loop and failed there; bound without waiting now.

--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The entry VMs of a fleet without a declared list: who they are, and whom callers may be sent to. */
+package org.lycheetray.core.fleet;
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -0,0 +1,357 @@
+package org.lycheetray.core.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.placement.internal.Candidate;
+import org.lycheetray.core.placement.internal.ServerState;
+import org.lycheetray.core.placement.internal.WorkTimes;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.slots.RendezvousHash;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.TrafficConfig;
+import org.lycheetray.core.traffic.TrafficRoute;
+import org.lycheetray.core.traffic.TrafficService;
+
+/**
+ * Chooses the backend server for a request by the time that it is expected to take there.
+ *
+ * <p>The expected time is the wait for a slot, the work, which is much shorter where the object is known, and the cost
+ * of distance. Every VM ranks the servers for an object alike, so that all send it to the same few. A request is sent
+ * only where it can be expected to start soon; otherwise it is held, and refused as soon as holding it longer is of no
+ * use. For one thread.
+ */
+public final class Placement {
+    /** Cost of leaving the data centre, as a part of the target latency: bytes between data centres have a price. */
+    private static final double OTHER_DATA_CENTRE = 0.05;
+
+    /** Cost of leaving the region, as a part of the target latency. */
+    private static final double OTHER_REGION = 0.2;
+
+    /**
+     * Part of the extra work of an unknown object that counts against the servers ranked first, second and so on for
+     * it: the first few are worth making acquainted with it.
+     */
+    private static final double[] UNKNOWN_COST = {0, 0.45, 0.8, 1};
+
+    /** Part of the target latency that a request may be held without prospects. */
+    private static final double HOLD_SHARE = 0.1;
+
+    /** Retry-After when no server exists or may be used: they come back within seconds. */
+    private static final Duration NO_SERVER_RETRY = Duration.ofSeconds(1);
+
+    private static final Duration LEAST_RETRY = Duration.ofMillis(100);
+
+    /** Part of a cold server's limit that is used. */
+    private static final double COLD_SAFETY = 0.7;
+
+    private final PlacementSettings settings;
+    private final RandomGenerator random;
+    private final Map<BackendServerName, ServerState> servers = new HashMap<>();
+    private final Map<ServiceName, List<ServerState>> byService = new HashMap<>();
+    private final Map<String, WorkTimes> workTimes = new HashMap<>();
+    private Set<DataCentreName> evacuated = Set.of();
+    private Map<ServiceName, TrafficService> limits = Map.of();
+    private int vms = 1;
+
+    /**
+     * Creates a placement without servers.
+     *
+     * @param settings what it must know of the fleet
+     * @param random breaks ties
+     */
+    public Placement(PlacementSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /**
+     * Takes a new configuration.
+     *
+     * @param config the configuration in force
+     */
+    public void configure(TrafficConfig config) {
+        Map<ServiceName, TrafficService> byName = new HashMap<>();
+        Set<String> names = new HashSet<>();
+        config.routes().forEach(r -> {
+            names.add(r.name());
+            r.parts().forEach(p -> config.service(p.service()).ifPresent(s -> byName.put(s.name(), s)));
+        });
+        limits = Map.copyOf(byName);
+        workTimes.keySet().retainAll(names);
+    }
+
+    /**
+     * Sets the number of VMs that share each server's limits.
+     *
+     * @param count VMs, this one included
+     */
+    public void vms(int count) {
+        vms = Math.max(1, count);
+    }
+
+    /**
+     * Sets the data centres whose servers get nothing.
+     *
+     * @param dataCentres their names
+     */
+    public void evacuate(Set<DataCentreName> dataCentres) {
+        evacuated = Set.copyOf(dataCentres);
+    }
+
+    /**
+     * Takes the servers that exist.
+     *
+     * @param present all of them
+     * @param now present time
+     */
+    public void servers(Collection<RegisteredServer> present, MonotonicTime now) {
+        Set<BackendServerName> names = new HashSet<>();
+        for (RegisteredServer s : present) {
+            names.add(s.name());
+            ServerState known = servers.get(s.name());
+            if (known != null && isSameLife(known.server(), s)) {
+                known.update(s, now);
+            } else {
+                servers.put(s.name(), new ServerState(s, settings.region(s.dataCentre()), now));
+            }
+        }
+        servers.keySet().retainAll(names);
+        byService.clear();
+        servers.values()
+                .forEach(s -> byService
+                        .computeIfAbsent(s.server().service(), n -> new ArrayList<>())
+                        .add(s));
+    }
+
+    private static boolean isSameLife(RegisteredServer a, RegisteredServer b) {
+        return a.incarnation() == b.incarnation()
+                && a.endpoint().equals(b.endpoint())
+                && a.service().equals(b.service());
+    }
+
+    /**
+     * Decides about a request.
+     *
+     * @param request the request
+     * @param now present time
+     * @return what to do with it; {@link #started} must follow a {@code Send}
+     */
+    public PlacementDecision decide(PlacementRequest request, MonotonicTime now) {
+        List<Candidate> usable = candidates(request, now);
+        if (usable.isEmpty()) {
+            return noServer(request, now);
+        }
+        Candidate best = usable.getFirst();
+        for (Candidate c : usable) {
+            best = c.cost() < best.cost() ? c : best;
+        }
+        MonotonicTime done = now.plus(Duration.ofNanos((long) (best.queueing() + best.work())));
+        if (best.queueing() <= 0 || !request.target().isBefore(done)) {
+            return new PlacementDecision.Send(best.state().server(), best.describe(now));
+        }
+        return hold(request, best, now);
+    }
+
+    private PlacementDecision hold(PlacementRequest request, Candidate best, MonotonicTime now) {
+        MonotonicTime latestStart = request.target().plus(Duration.ofNanos((long) -best.work()));
+        MonotonicTime patience = request.received().plus(scaled(request.route().targetLatency(), HOLD_SHARE));
+        MonotonicTime until = latestStart.isBefore(patience) ? patience : latestStart;
+        until = request.end().isBefore(until) ? request.end() : until;
+        Duration wait = Duration.ofNanos((long) best.queueing());
+        return now.plus(wait).isBefore(until) ? new PlacementDecision.Hold(until) : refuse("no-room", wait);
+    }
+
+    private static PlacementDecision refuse(String reason, Duration retryAfter) {
+        return new PlacementDecision.Refuse(reason, retryAfter.compareTo(LEAST_RETRY) < 0 ? LEAST_RETRY : retryAfter);
+    }
+
+    private PlacementDecision noServer(PlacementRequest request, MonotonicTime now) {
+        boolean any = byService.getOrDefault(request.service(), List.of()).stream()
+                .anyMatch(s -> isAllowed(s, request)
+                        && !request.tried().contains(s.server().name()));
+        if (!any) {
+            return refuse("no-server", NO_SERVER_RETRY);
+        }
+        MonotonicTime until = request.received().plus(scaled(request.route().targetLatency(), HOLD_SHARE));
+        return !now.isBefore(until) || request.end().isBefore(until)
+                ? refuse("no-usable-server", LEAST_RETRY)
+                : new PlacementDecision.Hold(until);
+    }
+
+    private List<Candidate> candidates(PlacementRequest request, MonotonicTime now) {
+        List<ServerState> all = byService.getOrDefault(request.service(), List.of());
+        List<ServerState> allowed = new ArrayList<>(all.size());
+        for (ServerState s : all) {
+            if (isAllowed(s, request) && !request.tried().contains(s.server().name())) {
+                allowed.add(s);
+            }
+        }
+        List<ServerState> well = allowed.stream().filter(s -> !s.isPaused(now)).toList();
+        List<ServerState> considered = well.isEmpty() ? List.of() : well;
+        List<Candidate> result = new ArrayList<>(considered.size());
+        WorkTimes times = times(request.route());
+        for (ServerState s : considered) {
+            if (!s.isCold(now) || hasColdToken(s, now)) {
+                result.add(candidate(request, s, times, considered, now));
+            }
+        }
+        return result;
+    }
+
+    private boolean isAllowed(ServerState s, PlacementRequest request) {
+        return !s.server().draining()
+                && !evacuated.contains(s.server().dataCentre())
+                && (request.regions().isEmpty() || request.regions().contains(s.region()));
+    }
+
+    private boolean hasColdToken(ServerState s, MonotonicTime now) {
+        TrafficService service = limits.get(s.server().service());
+        if (service == null || service.coldPerSecond() <= 0) {
+            return true;
+        }
+        return s.coldAllowance().has(COLD_SAFETY * service.coldPerSecond() / vms, now);
+    }
+
+    private Candidate candidate(
+            PlacementRequest request, ServerState s, WorkTimes times, List<ServerState> considered, MonotonicTime now) {
+        double slow = s.slowness(now);
+        double load = s.load(now);
+        int slots = s.server().slots();
+        double warmWork = times.nanos(true) * slow;
+        double coldWork = times.nanos(false) * slow;
+        boolean warm = request.object().isPresent() && s.isWarm(objectKey(request));
+        double work = warm ? warmWork : coldWork;
+        double cost = work;
+        if (request.object().isPresent() && !warm) {
+            int rank = rank(objectKey(request), s, considered);
+            cost = warmWork + UNKNOWN_COST[Math.min(rank, UNKNOWN_COST.length - 1)] * (coldWork - warmWork);
+        }
+        double wait = Math.max(0, load + 1 - slots) * warmWork / slots;
+        cost += wait + load / slots * TIE_BREAK * warmWork + distance(request.route(), s);
+        cost *= 1 + random.nextDouble() * JITTER;
+        return new Candidate(s, cost, wait, work, warm);
+    }
+
+    /** Preference for less loaded servers among those with room, as a part of the work. */
+    private static final double TIE_BREAK = 0.15;
+
+    private static final double JITTER = 0.01;
+
+    private double distance(TrafficRoute route, ServerState s) {
+        double target = route.targetLatency().toNanos();
+        if (s.server().dataCentre().equals(settings.dataCentre())) {
+            return 0;
+        }
+        boolean near = s.region().equals(settings.region(settings.dataCentre()));
+        return target * (near ? OTHER_DATA_CENTRE : OTHER_REGION);
+    }
+
+    /** Position of a server among those of its region for an object; the same on every VM that sees the same servers. */
+    private static int rank(String object, ServerState s, List<ServerState> considered) {
+        long own = RendezvousHash.score(object, s.server().name().value()) >>> 1;
+        int rank = 0;
+        for (ServerState o : considered) {
+            if (o != s
+                    && o.region().equals(s.region())
+                    && RendezvousHash.score(object, o.server().name().value()) >>> 1 > own) {
+                rank++;
+            }
+        }
+        return rank;
+    }
+
+    private static String objectKey(PlacementRequest request) {
+        return request.route().name() + ' ' + request.object().orElse("");
+    }
+
+    private WorkTimes times(TrafficRoute route) {
+        return workTimes.computeIfAbsent(route.name(), n -> new WorkTimes(route));
+    }
+
+    private static Duration scaled(Duration d, double factor) {
+        return Duration.ofNanos((long) (d.toNanos() * factor));
+    }
+
+    /**
+     * Counts a request that is sent.
+     *
+     * @param request the request
+     * @param name the server it goes to
+     * @param now present time
+     * @return true if the server was taken to know the request's object
+     */
+    public boolean started(PlacementRequest request, BackendServerName name, MonotonicTime now) {
+        ServerState s = servers.get(name);
+        if (s == null) {
+            return false;
+        }
+        s.started();
+        if (s.isCold(now)) {
+            s.coldAllowance().take();
+        }
+        if (request.object().isEmpty()) {
+            return false;
+        }
+        boolean warm = s.isWarm(objectKey(request));
+        s.handled(objectKey(request));
+        return warm;
+    }
+
+    /**
+     * Counts the end of an attempt.
+     *
+     * @param request the request
+     * @param server the life of the server that it was sent to
+     * @param warm what {@link #started} returned
+     * @param end how it ended
+     * @param now present time
+     */
+    public void ended(
+            PlacementRequest request, RegisteredServer server, boolean warm, AttemptEnd end, MonotonicTime now) {
+        ServerState s = servers.get(server.name());
+        if (s == null || !isSameLife(s.server(), server)) {
+            return;
+        }
+        WorkTimes times = times(request.route());
+        boolean unloaded = s.load(now) <= s.server().slots();
+        s.ended(end, Duration.ofNanos((long) times.nanos(warm)), now);
+        if (end instanceof AttemptEnd.Answered a && unloaded) {
+            times.sample(warm, a.took());
+        }
+    }
+
+    /**
+     * Takes the load that came with an answer.
+     *
+     * @param name the server
+     * @param load the load
+     * @param now present time
+     */
+    public void reported(BackendServerName name, ReportedLoad load, MonotonicTime now) {
+        ServerState s = servers.get(name);
+        if (s != null) {
+            s.reported(load, now);
+        }
+    }
+
+    /**
+     * The region of a server.
+     *
+     * @param server the server
+     * @return its region
+     */
+    public RegionName region(RegisteredServer server) {
+        return settings.region(server.dataCentre());
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementDecision.java
@@ -0,0 +1,41 @@
+package org.lycheetray.core.placement;
+
+import java.time.Duration;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.MonotonicTime;
+
+/** What to do with a request. */
+public sealed interface PlacementDecision {
+    /**
+     * Send it.
+     *
+     * @param server where to
+     * @param reason inputs that decided, for the log
+     */
+    record Send(RegisteredServer server, String reason) implements PlacementDecision {
+        /**
+         * The server's name.
+         *
+         * @return its name
+         */
+        public BackendServerName name() {
+            return server.name();
+        }
+    }
+
+    /**
+     * Keep it until a server has room.
+     *
+     * @param until when to refuse it if none has
+     */
+    record Hold(MonotonicTime until) implements PlacementDecision {}
+
+    /**
+     * Refuse it now.
+     *
+     * @param reason why, for the log
+     * @param retryAfter when room is likely
+     */
+    record Refuse(String reason, Duration retryAfter) implements PlacementDecision {}
+}
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Inner parts of placement. */
+package org.lycheetray.core.placement.internal;
--- /dev/null
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/quota/internal/FleetBucket.java
@@ -0,0 +1,146 @@
+package org.lycheetray.core.quota.internal;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+
+/** This VM's copy of one client account's token bucket. */
+public final class FleetBucket {
+    /** Part of a bucket below which totals must be fresh. */
+    private static final double NEAR_EMPTY = 0.5;
+
+    /** Part of a bucket that all VMs together may admit without telling. */
+    private static final double UNTOLD_SHARE = 0.08;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Map<VmName, Long> told = new HashMap<>();
+    private final Map<VmName, Double> reserved = new HashMap<>();
+    private double perSecond;
+    private double capacity;
+    private double tokens;
+    private MonotonicTime settled;
+    private long admitted;
+    private long reported;
+
+    /**
+     * Creates a bucket.
+     *
+     * @param tokens tokens to start with
+     * @param now present time
+     */
+    public FleetBucket(double tokens, MonotonicTime now) {
+        this.tokens = tokens;
+        this.settled = now;
+    }
+
+    /**
+     * Sets rate and size; tokens above the size are lost.
+     *
+     * @param newPerSecond tokens added per second
+     * @param newCapacity most tokens
+     */
+    public void configure(double newPerSecond, double newCapacity) {
+        perSecond = newPerSecond;
+        capacity = newCapacity;
+        tokens = Math.min(tokens, capacity);
+    }
+
+    /**
+     * Adds the tokens of the time passed, less the equal shares of VMs that cannot be heard.
+     *
+     * @param silent VMs that cannot be heard
+     * @param vms number of VMs, this one included
+     * @param now present time
+     */
+    public void settle(Set<VmName> silent, int vms, MonotonicTime now) {
+        double refill = perSecond * now.since(settled).toNanos() / NANOS_PER_SECOND;
+        settled = now;
+        double share = refill / vms;
+        silent.forEach(vm -> reserved.merge(vm, share, Double::sum));
+        double heard = (double) (vms - silent.size()) / vms;
+        tokens = Math.min(capacity * heard, tokens + refill - share * silent.size());
+    }
+
+    /**
+     * Takes a VM's total.
+     *
+     * @param vm the VM
+     * @param sameLife false if the VM has started anew since its last total
+     * @param total requests that it admitted in its present life
+     */
+    public void report(VmName vm, boolean sameLife, long total) {
+        long before = sameLife ? told.getOrDefault(vm, 0L) : 0;
+        Double held = reserved.remove(vm);
+        tokens -= Math.max(0, total - before - (held == null ? 0 : held));
+        told.put(vm, total);
+    }
+
+    /**
+     * Forgets VMs that have left.
+     *
+     * @param members VMs that remain
+     */
+    public void retain(Set<VmName> members) {
+        told.keySet().retainAll(members);
+        reserved.keySet().retainAll(members);
+    }
+
+    /**
+     * Takes a token.
+     *
+     * @return false if there is none
+     */
+    public boolean take() {
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        admitted++;
+        return true;
+    }
+
+    /** Gives a token back: the request did not run. */
+    public void giveBack() {
+        tokens = Math.min(capacity, tokens + 1);
+        admitted--;
+    }
+
+    /**
+     * Time until a token is there.
+     *
+     * @return the time, at least a millisecond
+     */
+    public Duration timeToToken() {
+        double seconds = (1 - tokens) / Math.max(perSecond, 1e-3);
+        return Duration.ofMillis(Math.clamp((long) Math.ceil(seconds * 1_000), 1, 60_000));
+    }
+
+    /**
+     * Requests admitted in this life.
+     *
+     * @return the total
+     */
+    public long admitted() {
+        return admitted;
+    }
+
+    /**
+     * Tells whether others must hear of the total now.
+     *
+     * @param vms number of VMs
+     * @return true if the bucket is nearly empty and much is untold
+     */
+    public boolean isReportDue(int vms) {
+        double untold = Math.max(1, UNTOLD_SHARE * capacity / vms);
+        return tokens < NEAR_EMPTY * capacity && admitted - reported >= untold;
+    }
+
+    /** Notes that the total was told. */
+    public void reported() {
+        reported = admitted;
+    }
+}
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/log/Logging.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/log/Logging.java
@@ -18,7 +18,8 @@
     public static void configure(LogFormat chosen, String level) {
         format = chosen;
         Configuration.set("writer", "console");
-        Configuration.set("writer.stream", "err");
+        Configuration.set("writer.stream", "out");
+        Configuration.set("writingthread", "true");
         Configuration.set("level", level.toLowerCase(Locale.ROOT));
         Configuration.set("level@io.netty", "warn");
         Configuration.set("level@reactor", "warn");
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
@@ -0,0 +1,148 @@
+package org.lycheetray.edge;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.log.LogFormat;
+import org.lycheetray.daemon.log.Logging;
+import org.lycheetray.edge.settings.EdgeSetting;
+import org.lycheetray.edge.settings.EdgeSettings;
+import org.lycheetray.edge.settings.EdgeSettingsReader;
+
+/** The life of an edge's process: command line, settings, signals. */
+public final class EdgeMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private final Path file;
+    private final Map<EdgeSetting, String> overrides;
+
+    private EdgeMain(Path file, Map<EdgeSetting, String> overrides) {
+        this.file = file;
+        this.overrides = overrides;
+    }
+
+    /**
+     * Runs an edge until it is told to stop.
+     *
+     * @param file settings file
+     * @param args flags, which go before the environment, which goes before the file
+     * @param adapter the place that it runs in
+     * @throws InterruptedException if the wait was interrupted
+     */
+    public static void run(Path file, String[] args, EdgeAdapter adapter) throws InterruptedException {
+        List<String> given = Arrays.asList(args);
+        if (given.contains("--help") || given.contains("-h")) {
+            help();
+            return;
+        }
+        Logging.configure(LogFormat.KEY_VALUE, "info");
+        EdgeMain main = new EdgeMain(file, overrides(args));
+        Either<List<String>, EdgeSettings> settings = main.read();
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(e -> System.err.println("lycheetray: " + e));
+            System.exit(EXIT_USAGE);
+        }
+        if (given.contains("--check-settings")) {
+            System.out.println("settings are valid");
+            return;
+        }
+        main.start(settings.get(), adapter);
+    }
+
+    private void start(EdgeSettings settings, EdgeAdapter adapter) throws InterruptedException {
+        Edge edge = create(settings, adapter);
+        SettingsWatch watch = new SettingsWatch(this::read, settings, edge);
+        HangUpSignal.handle(() -> watch.check("signal"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "stop"));
+        while (!edge.awaitStopped(SettingsWatch.PERIOD)) {
+            watch.check("file");
+        }
+    }
+
+    private static Edge create(EdgeSettings settings, EdgeAdapter adapter) {
+        try {
+            return Edge.start(settings, adapter, Clock.system());
+        } catch (RuntimeException e) {
+            LogEvent.of("start-failed")
+                    .with("step", "listen")
+                    .with("vm", settings.vm())
+                    .with("cause", e)
+                    .error();
+            System.exit(EXIT_FAILED);
+            throw e;
+        }
+    }
+
+    /** Stops as planned; ends the process with status 0, which a signal alone would not give. */
+    private static void stop(Edge edge) {
+        edge.close();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private Either<List<String>, EdgeSettings> read() {
+        try {
+            String text = Files.exists(file) ? Files.readString(file) : "";
+            return EdgeSettingsReader.read(text, overrides);
+        } catch (IOException e) {
+            return Either.left(List.of(file + ": " + e));
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        for (EdgeSetting s : EdgeSetting.values()) {
+            options.addOption(Option.builder()
+                    .longOpt(s.flag())
+                    .hasArg()
+                    .desc(s.description())
+                    .get());
+        }
+        options.addOption(Option.builder()
+                .longOpt("check-settings")
+                .desc("check the settings and end")
+                .get());
+        return options;
+    }
+
+    private static Map<EdgeSetting, String> overrides(String[] args) {
+        Map<EdgeSetting, String> overrides = new EnumMap<>(EdgeSetting.class);
+        try {
+            CommandLine line = new DefaultParser().parse(options(), args);
+            for (EdgeSetting s : EdgeSetting.values()) {
+                String env = System.getenv(s.variable());
+                if (env != null) {
+                    overrides.put(s, env);
+                }
+                if (line.hasOption(s.flag())) {
+                    overrides.put(s, line.getOptionValue(s.flag()));
+                }
+            }
+        } catch (ParseException e) {
+            System.err.println("lycheetray: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        return overrides;
+    }
+
+    private static void help() {
+        System.out.println("An entry VM whose backend servers register themselves. Settings, as NAME=value in the");
+        System.out.println("settings file or the environment, or as flags:");
+        for (EdgeSetting s : EdgeSetting.values()) {
+            System.out.println("  " + s.variable() + ", --" + s.flag() + ": " + s.description()
+                    + (s.standard().isEmpty() ? "" : " (" + s.standard() + ")"));
+        }
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -0,0 +1,51 @@
+package org.lycheetray.edge;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.metrics.HdrReservoir;
+import org.lycheetray.daemon.metrics.PrometheusText;
+import org.lycheetray.edge.exchange.ExchangeObserver;
+import org.lycheetray.edge.log.RequestLog;
+
+/** Counts finished requests and writes their log lines. For the event loop. */
+final class EdgeMetrics implements ExchangeObserver {
+    private final MetricRegistry registry = new MetricRegistry();
+    private final RequestLog log;
+
+    EdgeMetrics(RequestLog log) {
+        this.log = log;
+    }
+
+    void gauge(String name, DoubleSupplier value) {
+        registry.gauge(name, () -> (Gauge<Double>) value::getAsDouble);
+    }
+
+    String text() {
+        return PrometheusText.write(registry);
+    }
+
+    @Override
+    public void finished(Finished r) {
+        String route = r.route().orElse("none");
+        registry.timer("lycheetray_request_latency_seconds|route=" + route, () -> new Timer(new HdrReservoir()))
+                .update(r.took().toNanos(), TimeUnit.NANOSECONDS);
+        registry.counter("lycheetray_requests_total|outcome=" + r.outcome() + "|route=" + route + "|status="
+                        + r.status())
+                .inc();
+        log.write(LogEvent.of("request")
+                .with("id", r.id())
+                .with("route", route)
+                .with("account", r.account().map(ClientAccountName::value).orElse("none"))
+                .with("service", r.service().map(Object::toString).orElse("none"))
+                .with("config", r.config())
+                .with("status", r.status())
+                .with("outcome", r.outcome())
+                .with("ms", r.took().toMillis())
+                .with("attempts", r.attempts()));
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -0,0 +1,170 @@
+package org.lycheetray.edge.backend;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.edge.Transport;
+import org.lycheetray.edge.dialect.BackendDialect;
+
+/** Sends requests to backend servers over kept connections. For the event loop. */
+public final class BackendClient implements AutoCloseable {
+    /** Longest time to connect: some round trips between regions; a server that needs longer is of no use. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+
+    private final Bootstrap bootstrap;
+    private final BackendDialect dialect;
+    private final Clock clock;
+    private final Map<BackendServerName, Pool> pools = new HashMap<>();
+
+    /** Connections to one life of a server. */
+    private static final class Pool {
+        private final RegisteredServer server;
+        private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
+        private int open;
+        private boolean retired;
+
+        Pool(RegisteredServer server) {
+            this.server = server;
+        }
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param transport the event loop
+     * @param dialect how servers are spoken to
+     * @param clock clock for idle times
+     */
+    public BackendClient(Transport transport, BackendDialect dialect, Clock clock) {
+        this.bootstrap = transport.client(CONNECT_TIMEOUT);
+        this.dialect = dialect;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends a request once.
+     *
+     * @param server where to
+     * @param maxConnections connections that this VM may have to the server
+     * @param request the request
+     * @param callback takes the result, on the event loop
+     * @return the attempt
+     */
+    public Attempt send(
+            RegisteredServer server, int maxConnections, OutgoingRequest request, Consumer<AttemptResult> callback) {
+        Attempt attempt = new Attempt(request, callback);
+        Pool pool = pool(server);
+        while (!pool.idle.isEmpty()) {
+            BackendConnection c = pool.idle.removeLast();
+            if (c.isReusable()) {
+                c.send(attempt);
+                return attempt;
+            }
+            c.close();
+        }
+        if (pool.open >= maxConnections) {
+            attempt.end(new AttemptResult.NotRun(AttemptResult.Proof.NO_CONNECTION));
+            return attempt;
+        }
+        connect(pool, attempt);
+        return attempt;
+    }
+
+    private Pool pool(RegisteredServer server) {
+        Pool p = pools.get(server.name());
+        if (p != null
+                && p.server.endpoint().equals(server.endpoint())
+                && p.server.incarnation() == server.incarnation()) {
+            return p;
+        }
+        if (p != null) {
+            retire(p);
+        }
+        Pool fresh = new Pool(server);
+        pools.put(server.name(), fresh);
+        return fresh;
+    }
+
+    private void connect(Pool pool, Attempt attempt) {
+        pool.open++;
+        BackendConnection[] holder = new BackendConnection[1];
+        ChannelFuture f = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        holder[0] = new BackendConnection(ch, decoder, dialect, clock, () -> idle(pool, holder[0]));
+                        ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder[0]);
+                    }
+                })
+                .connect(pool.server.endpoint().host(), pool.server.endpoint().port());
+        var _ = f.channel().closeFuture().addListener(c -> {
+            pool.open--;
+            pool.idle.remove(holder[0]);
+        });
+        attempt.onCancel(() -> {
+            var _ = f.channel().close();
+        });
+        var _ = f.addListener(done -> connected(f, holder[0], pool, attempt));
+    }
+
+    private void connected(ChannelFuture f, BackendConnection connection, Pool pool, Attempt attempt) {
+        if (!f.isSuccess()) {
+            attempt.end(new AttemptResult.NotRun(AttemptResult.Proof.UNREACHABLE));
+        } else if (attempt.isOver()) {
+            idle(pool, connection);
+        } else {
+            connection.send(attempt);
+        }
+    }
+
+    private static void idle(Pool pool, BackendConnection connection) {
+        if (pool.retired) {
+            connection.close();
+        } else {
+            pool.idle.addLast(connection);
+        }
+    }
+
+    private static void retire(Pool p) {
+        p.retired = true;
+        p.idle.forEach(BackendConnection::close);
+        p.idle.clear();
+    }
+
+    /**
+     * Closes unused connections to servers that do not exist any more.
+     *
+     * @param present servers that exist
+     */
+    public void retain(Collection<RegisteredServer> present) {
+        Set<BackendServerName> names = new HashSet<>();
+        present.forEach(s -> names.add(s.name()));
+        pools.values().removeIf(p -> {
+            boolean gone = !names.contains(p.server.name());
+            if (gone) {
+                retire(p);
+            }
+            return gone;
+        });
+    }
+
+    @Override
+    public void close() {
+        pools.values().forEach(BackendClient::retire);
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to backend servers. */
+package org.lycheetray.edge.backend;
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** One request from its head to its answer. */
+package org.lycheetray.edge.exchange;
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
@@ -0,0 +1,171 @@
+package org.lycheetray.edge.fleet;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.lycheetray.core.fleet.FleetMember;
+import org.lycheetray.core.fleet.FleetView;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.edge.Transport;
+import org.lycheetray.edge.exchange.Steering;
+import org.lycheetray.protocol.MessageCodec;
+import org.lycheetray.protocol.generated.AccountTotal;
+import org.lycheetray.protocol.generated.VmReport;
+
+/**
+ * Tells the other VMs what this one has admitted and hears the same from them, by datagrams.
+ *
+ * <p>Datagrams have no connection that could go silent; a lost one is made up for by the next. For the event loop.
+ */
+public final class Reports implements AutoCloseable {
+    private final FleetMember self;
+    private final FleetView view;
+    private final Steering steering;
+    private final BooleanSupplier serving;
+    private final Clock clock;
+    private final Channel socket;
+    private long sequence;
+
+    /**
+     * Starts to listen.
+     *
+     * @param transport the event loop
+     * @param self this life of this VM
+     * @param view takes what is heard
+     * @param steering takes the totals
+     * @param serving true if look-ups may name this VM
+     * @param clock the clock
+     */
+    public Reports(
+            Transport transport,
+            FleetMember self,
+            FleetView view,
+            Steering steering,
+            BooleanSupplier serving,
+            Clock clock) {
+        this.self = self;
+        this.view = view;
+        this.steering = steering;
+        this.serving = serving;
+        this.clock = clock;
+        this.socket = transport
+                .datagrams()
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
+                        received(p);
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        LogEvent.of("report-failed").with("cause", cause).debug();
+                    }
+                })
+                .bind(new InetSocketAddress(
+                        self.reports().host(), self.reports().port()))
+                .addListener(f -> logBind(f.cause()))
+                .channel();
+    }
+
+    private static void logBind(Throwable cause) {
+        if (cause != null) {
+            LogEvent.of("reports-not-received").with("step", "bind").with("cause", cause).error();
+        }
+    }
+
+    /** Tells all other VMs. */
+    public void send() {
+        List<FleetMember> members = view.members();
+        steering.quota().reported();
+        if (members.isEmpty()) {
+            return;
+        }
+        ByteBuf bytes = Unpooled.wrappedBuffer(MessageCodec.encode(report()));
+        for (FleetMember m : members) {
+            InetSocketAddress to =
+                    new InetSocketAddress(m.reports().host(), m.reports().port());
+            var _ = socket.write(new DatagramPacket(bytes.retainedDuplicate(), to));
+        }
+        socket.flush();
+        bytes.release();
+    }
+
+    private VmReport report() {
+        List<AccountTotal> totals = new ArrayList<>();
+        steering.quota().admitted().forEach((name, n) -> totals.add(new AccountTotal(name.value(), n)));
+        VmReport r = new VmReport();
+        r.setVm(self.vm().value());
+        r.setIncarnation(self.incarnation());
+        r.setSequence(++sequence);
+        r.setDataCentre(self.dataCentre().value());
+        r.setCallers(self.callers().toString());
+        r.setReports(self.reports().toString());
+        r.setServing(serving.getAsBoolean());
+        r.setAdmitted(totals);
+        r.setConfigVersion(steering.version().number());
+        return r;
+    }
+
+    private void received(DatagramPacket p) {
+        byte[] bytes = new byte[p.content().readableBytes()];
+        p.content().readBytes(bytes);
+        MessageCodec.decodeAlone(bytes, new VmReport())
+                .peek(this::take)
+                .peekLeft(e -> LogEvent.of("report-unreadable")
+                        .with("from", p.sender())
+                        .with("cause", e)
+                        .debug());
+    }
+
+    private void take(VmReport r) {
+        MonotonicTime now = clock.monotonic();
+        FleetMember member;
+        Map<ClientAccountName, Long> totals = new HashMap<>();
+        try {
+            member = new FleetMember(
+                    new VmName(r.getVm()),
+                    r.getIncarnation(),
+                    new DataCentreName(r.getDataCentre()),
+                    Endpoint.parse(r.getCallers()),
+                    Endpoint.parse(r.getReports()));
+            r.getAdmitted().forEach(t -> totals.put(new ClientAccountName(t.getAccount()), t.getAdmitted()));
+        } catch (IllegalArgumentException | NullPointerException e) {
+            LogEvent.of("report-unreadable").with("cause", e).debug();
+            return;
+        }
+        int before = view.names().size();
+        if (view.heard(member, r.getSequence(), r.isServing(), now)) {
+            steering.quota().report(member.vm(), member.incarnation(), totals, now);
+        }
+        if (view.names().size() != before) {
+            membersChanged();
+        }
+    }
+
+    /** Tells the decisions how many VMs share the fleet's limits. */
+    public void membersChanged() {
+        steering.vms(view.names().size() + 1);
+        steering.quota().members(view.names(), clock.monotonic());
+        LogEvent.of("members-changed").with("vms", view.names().size() + 1).info();
+    }
+
+    @Override
+    public void close() {
+        var _ = socket.close();
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Reports between the VMs of a fleet. */
+package org.lycheetray.edge.fleet;
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of callers. */
+package org.lycheetray.edge.front;
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines of requests, within a limit. */
+package org.lycheetray.edge.log;
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an edge. */
+package org.lycheetray.edge.settings;
--- a/lycheetray-protocol/src/main/java/org/lycheetray/protocol/MessageCodec.java
+++ b/lycheetray-protocol/src/main/java/org/lycheetray/protocol/MessageCodec.java
@@ -69,6 +69,18 @@
         return decode(bytes, new Envelope());
     }
 
+    /**
+     * Reads a message that is sent by itself, without a connection.
+     *
+     * @param bytes the bytes received
+     * @param into an empty message
+     * @param <T> type of the message
+     * @return the message, or why it is refused
+     */
+    public static <T extends TBase<?, ?>> Either<ProtocolError, T> decodeAlone(byte[] bytes, T into) {
+        return decode(bytes, into);
+    }
+
     private static Either<ProtocolError, Hello> checkHello(Hello hello) {
         if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
             return refuse(ProtocolError.Kind.OTHER_VERSION, "version " + hello.getProtocolVersion());
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -263,3 +263,29 @@
   2: optional Request request
   3: optional Reply reply
 }
+
+/** Requests of one client account that a VM has admitted since its start. */
+struct AccountTotal {
+  1: string account
+  2: i64 admitted
+}
+
+/**
+ * What a VM tells all others several times a second, as one datagram. It holds totals and states only, so that a lost,
+ * repeated or reordered report does no harm.
+ */
+struct VmReport {
+  1: string vm
+  2: i64 incarnation
+  /** Grows with each report of an incarnation. */
+  3: i64 sequence
+  4: string dataCentre
+  /** Address for callers, host:port. */
+  5: string callers
+  /** Address for reports, host:port. */
+  6: string reports
+  /** True if look-ups may name the VM. */
+  7: bool serving
+  8: list<AccountTotal> admitted
+  9: i64 configVersion
+}
