Cold caution after signs of a restart; store follower survives errors; placement replay

Now: connections are copied before they are closed and a failed reading is logged; a broken, refused or early ended connection makes a server suspect until its entry tells, and then only a few VMs may use it, at its cold rate.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -7,12 +7,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.placement.internal.Candidate;
 import org.lycheetray.core.placement.internal.ServerState;
 import org.lycheetray.core.placement.internal.WorkTimes;
@@ -53,7 +55,19 @@
     private static final Duration LEAST_RETRY = Duration.ofMillis(100);
 
     /** Part of a cold server's limit that is used. */
-    private static final double COLD_SAFETY = 0.7;
+    private static final double COLD_SAFETY = 0.9;
+
+    /** Part of a cold server's slack by which the VMs that may use it at one moment are limited. */
+    private static final double COLD_VMS_SHARE = 0.8;
+
+    /** Time after a sign of a new start until the server's entry tells it: one interval between entries. */
+    private static final Duration ENTRY_DELAY = Duration.ofMillis(1_500);
+
+    /** Time within which signs of new starts count as one event. */
+    private static final Duration ONE_EVENT = Duration.ofMillis(300);
+
+    /** Part of all servers that cannot well start anew at once in several regions: the fault is then this VM's own. */
+    private static final double OWN_FAULT_SHARE = 0.3;
 
     private final PlacementSettings settings;
     private final RandomGenerator random;
@@ -62,7 +76,8 @@
     private final Map<String, WorkTimes> workTimes = new HashMap<>();
     private Set<DataCentreName> evacuated = Set.of();
     private Map<ServiceName, TrafficService> limits = Map.of();
-    private int vms = 1;
+    private Map<VmName, RegionName> otherVms = Map.of();
+    private final Map<BackendServerName, MonotonicTime> suspects = new HashMap<>();
 
     /**
      * Creates a placement without servers.
@@ -92,20 +107,55 @@
     }
 
     /**
-     * Sets the number of VMs that share each server's limits.
+     * Sets the other VMs, which share each server's limits.
      *
-     * @param count VMs, this one included
+     * @param others the other VMs and their regions
      */
-    public void vms(int count) {
-        vms = Math.max(1, count);
+    public void vms(Map<VmName, RegionName> others) {
+        otherVms = Map.copyOf(others);
     }
 
     /**
-     * Sets the data centres whose servers get nothing.
+     * Notes a sign that a server may have started anew: until its entry says more it may be cold.
+     *
+     * @param name the server
+     * @param now present time
+     */
+    public void suspect(BackendServerName name, MonotonicTime now) {
+        ServerState s = servers.get(name);
+        if (s == null) {
+            return;
+        }
+        s.suspect(now.plus(coldStart(s)).plus(ENTRY_DELAY));
+        suspects.values().removeIf(t -> now.since(t).compareTo(ONE_EVENT) > 0);
+        suspects.put(name, now);
+        long regions = suspects.keySet().stream()
+                .map(servers::get)
+                .filter(Objects::nonNull)
+                .map(ServerState::region)
+                .distinct()
+                .count();
+        if (regions > 1 && suspects.size() > OWN_FAULT_SHARE * servers.size()) {
+            suspects.keySet().stream().map(servers::get).filter(Objects::nonNull).forEach(o -> o.trust(now));
+        }
+    }
+
+    private Duration coldStart(ServerState s) {
+        TrafficService service = limits.get(s.server().service());
+        return service == null ? Duration.ZERO : service.coldStart();
+    }
+
+    /**
+     * Sets the data centres whose servers get nothing; servers of those that are taken back may be cold.
      *
      * @param dataCentres their names
+     * @param now present time
      */
-    public void evacuate(Set<DataCentreName> dataCentres) {
+    public void evacuate(Set<DataCentreName> dataCentres, MonotonicTime now) {
+        servers.values().stream()
+                .filter(s -> evacuated.contains(s.server().dataCentre())
+                        && !dataCentres.contains(s.server().dataCentre()))
+                .forEach(s -> s.suspect(now.plus(coldStart(s)).plus(ENTRY_DELAY)));
         evacuated = Set.copyOf(dataCentres);
     }
 
@@ -202,7 +252,7 @@
         List<Candidate> result = new ArrayList<>(considered.size());
         WorkTimes times = times(request.route());
         for (ServerState s : considered) {
-            if (!s.isCold(now) || hasColdToken(s, now)) {
+            if (!(s.isCold(now) || s.isSuspect(now)) || hasColdToken(s, now)) {
                 result.add(candidate(request, s, times, considered, now));
             }
         }
@@ -220,7 +270,28 @@
         if (service == null || service.coldPerSecond() <= 0) {
             return true;
         }
-        return s.coldAllowance().has(COLD_SAFETY * service.coldPerSecond() / vms, now);
+        int users = Math.clamp((int) (COLD_VMS_SHARE * settings.coldSlack()), 1, otherVms.size() + 1);
+        if (coldRank(s) >= users) {
+            return false;
+        }
+        double most = COLD_SAFETY * (service.coldPerSecond() * settings.coldOverage() + settings.coldSlack()) - users;
+        return s.coldAllowance().has(Math.clamp(most, 0, service.coldPerSecond()) / users, now);
+    }
+
+    /** Position of this VM among those that may use a cold server: VMs of its region first, the same order on all. */
+    private int coldRank(ServerState s) {
+        String server = s.server().name().value();
+        boolean near = s.region().equals(settings.region(settings.dataCentre()));
+        long own = RendezvousHash.score(server, settings.vm().value()) >>> 1;
+        int rank = 0;
+        for (Map.Entry<VmName, RegionName> o : otherVms.entrySet()) {
+            boolean otherNear = s.region().equals(o.getValue());
+            boolean first = otherNear == near
+                    ? RendezvousHash.score(server, o.getKey().value()) >>> 1 > own
+                    : otherNear;
+            rank += first ? 1 : 0;
+        }
+        return rank;
     }
 
     private Candidate candidate(
@@ -297,7 +368,7 @@
             return false;
         }
         s.started();
-        if (s.isCold(now)) {
+        if (s.isCold(now) || s.isSuspect(now)) {
             s.coldAllowance().take();
         }
         if (request.object().isEmpty()) {
@@ -326,6 +397,9 @@
         WorkTimes times = times(request.route());
         boolean unloaded = s.load(now) <= s.server().slots();
         s.ended(end, Duration.ofNanos((long) times.nanos(warm)), now);
+        if (end instanceof AttemptEnd.Broken || end instanceof AttemptEnd.Unreachable) {
+            suspect(server.name(), now);
+        }
         if (end instanceof AttemptEnd.Answered a && unloaded) {
             times.sample(warm, a.took());
         }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementSettings.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementSettings.java
@@ -3,17 +3,23 @@
 import java.util.Map;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.VmName;
 
 /**
  * What placement must know of the fleet.
  *
+ * @param vm this VM
  * @param dataCentre this VM's data centre
  * @param regions region of every data centre
  * @param coldOverage factor by which a cold server's rate may be exceeded
  * @param coldSlack requests in a second that may come on top
  */
 public record PlacementSettings(
-        DataCentreName dataCentre, Map<DataCentreName, RegionName> regions, double coldOverage, double coldSlack) {
+        VmName vm,
+        DataCentreName dataCentre,
+        Map<DataCentreName, RegionName> regions,
+        double coldOverage,
+        double coldSlack) {
     /** Copies the map. */
     public PlacementSettings {
         regions = Map.copyOf(regions);
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -43,6 +43,7 @@
     private final WarmObjects warm = new WarmObjects();
     private final ColdAllowance coldAllowance;
     private MonotonicTime coldUntil;
+    private MonotonicTime suspectUntil;
     private int inFlight;
     private double others;
     private MonotonicTime othersAt;
@@ -64,6 +65,7 @@
         this.region = region;
         this.coldAllowance = new ColdAllowance(now);
         this.coldUntil = now.plus(server.coldRemaining());
+        this.suspectUntil = now;
         this.othersAt = now;
         this.pausedUntil = now;
         this.slownessAt = now;
@@ -111,6 +113,34 @@
         return now.isBefore(coldUntil);
     }
 
+    /**
+     * Tells whether it may be cold although its entry does not say so.
+     *
+     * @param now present time
+     * @return true if it may just have started anew
+     */
+    public boolean isSuspect(MonotonicTime now) {
+        return now.isBefore(suspectUntil);
+    }
+
+    /**
+     * Notes a sign that it may just have started anew.
+     *
+     * @param until how long it may then be cold
+     */
+    public void suspect(MonotonicTime until) {
+        suspectUntil = suspectUntil.isBefore(until) ? until : suspectUntil;
+    }
+
+    /**
+     * Forgets the signs that it may have started anew.
+     *
+     * @param now present time
+     */
+    public void trust(MonotonicTime now) {
+        suspectUntil = now;
+    }
+
     /**
      * Its allowance while it is cold.
      *
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/allowance/RetryAllowanceTest.java
@@ -0,0 +1,42 @@
+package org.lycheetray.core.allowance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.time.MonotonicTime;
+
+class RetryAllowanceTest {
+    private static final ServiceName SERVICE = new ServiceName("svc");
+    private static final MonotonicTime START = MonotonicTime.ZERO;
+
+    private final RetryAllowance allowance =
+            new RetryAllowance(new RetryAllowance.RetryLimits(0.2, 56, Duration.ofSeconds(10)));
+
+    @Test
+    void vmsTogetherStayWithinTheFleetsBound() {
+        allowance.vms(8);
+        IntStream.range(0, 100).forEach(i -> allowance.request(SERVICE, START));
+
+        int granted = grant(1_000, START);
+
+        assertThat(granted * 8).isLessThanOrEqualTo((int) (0.2 * 800 + 56));
+        assertThat(granted).isGreaterThan(15);
+    }
+
+    @Test
+    void requestsOfAnEarlierWindowEarnNothing() {
+        allowance.vms(8);
+        IntStream.range(0, 100).forEach(i -> allowance.request(SERVICE, START));
+
+        assertThat(grant(1_000, START.plus(Duration.ofSeconds(11)))).isLessThanOrEqualTo(56 / 8);
+    }
+
+    private int grant(int asked, MonotonicTime now) {
+        return (int) IntStream.range(0, asked)
+                .filter(i -> allowance.tryRetry(SERVICE, now))
+                .count();
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
@@ -0,0 +1,413 @@
+package org.lycheetray.core.placement;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.ConfigVersion;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.ClientLimits;
+import org.lycheetray.core.traffic.Repetition;
+import org.lycheetray.core.traffic.TrafficConfig;
+import org.lycheetray.core.traffic.TrafficRoute;
+import org.lycheetray.core.traffic.TrafficService;
+import org.lycheetray.core.traffic.WeightedService;
+
+/**
+ * Replays load on a fleet whose VMs each decide with a {@link Placement} of their own, in simulated time.
+ *
+ * <p>Servers run a request faster if they have handled its object lately, queue a few requests and shed the rest. A
+ * refused caller comes back once.
+ */
+final class FleetSimulation {
+    private static final ServiceName SERVICE = new ServiceName("svc");
+    private static final double NANOS_PER_MS = 1e6;
+
+    /** What is replayed; times in milliseconds. */
+    record Load(
+            int[] serversPerRegion,
+            int vmsPerRegion,
+            int slots,
+            double workMs,
+            double targetMs,
+            double deadlineMs,
+            double timeoutMs,
+            double perSecondAndRegion,
+            double swing,
+            int objectsPerRegion,
+            int remembered,
+            double burstFactor,
+            double burstFromS,
+            double burstToS,
+            double lengthS) {}
+
+    /** What came of it. */
+    static final class Result {
+        int asked;
+        int inTarget;
+        int late;
+        int refused;
+        int warm;
+        int runs;
+        int crossRegion;
+        int shed;
+        final Map<Integer, double[]> bySecondPair = new HashMap<>();
+        final double[][] byRegion = new double[3][2];
+
+        double credit() {
+            return (inTarget + 0.2 * late) / asked;
+        }
+
+        double credit(int fromS, int toS) {
+            double got = 0;
+            double all = 0;
+            for (Map.Entry<Integer, double[]> e : bySecondPair.entrySet()) {
+                if (e.getKey() >= fromS && e.getKey() < toS) {
+                    got += e.getValue()[0];
+                    all += e.getValue()[1];
+                }
+            }
+            return got / all;
+        }
+
+        double warmShare() {
+            return (double) warm / runs;
+        }
+
+        @Override
+        public String toString() {
+            return "asked=%d credit=%.3f target=%d late=%d refused=%d warm=%.3f cross=%.3f shed=%d regions=%.2f/%.2f/%.2f"
+                    .formatted(
+                            asked,
+                            credit(),
+                            inTarget,
+                            late,
+                            refused,
+                            warmShare(),
+                            (double) crossRegion / runs,
+                            shed,
+                            byRegion[0][0] / byRegion[0][1],
+                            byRegion[1][0] / byRegion[1][1],
+                            byRegion[2][0] / byRegion[2][1]);
+        }
+    }
+
+    private final class Server {
+        private final RegisteredServer entry;
+        private final int region;
+        private final ArrayDeque<Call> queue = new ArrayDeque<>();
+        private final LinkedHashMap<String, Boolean> known = new LinkedHashMap<>(16, 0.75f, true);
+        private int running;
+
+        Server(String name, int region) {
+            this.region = region;
+            this.entry = new RegisteredServer(
+                    new BackendServerName(name),
+                    1,
+                    SERVICE,
+                    new Endpoint("127.0.0.1", 8080),
+                    dc(region),
+                    load.slots(),
+                    false,
+                    Duration.ZERO);
+        }
+
+        void arrive(Call c) {
+            if (running < load.slots()) {
+                run(c);
+            } else if (queue.size() < load.slots() * 3) {
+                queue.add(c);
+            } else {
+                result.shed++;
+                after(c.travelMs(), () -> c.ended(false, report()));
+            }
+        }
+
+        private void run(Call c) {
+            running++;
+            boolean warm = known.containsKey(c.object);
+            result.runs++;
+            result.warm += warm ? 1 : 0;
+            result.crossRegion += region == c.vm.region ? 0 : 1;
+            double factor = Math.max(0.3, 1 + 0.15 * random.nextGaussian());
+            after(load.workMs() * factor * (warm ? 0.3 : 1), () -> done(c));
+        }
+
+        private void done(Call c) {
+            running--;
+            known.put(c.object, true);
+            if (known.size() > load.remembered()) {
+                known.remove(known.keySet().iterator().next());
+            }
+            ReportedLoad l = report();
+            after(c.travelMs(), () -> c.ended(true, l));
+            while (running < load.slots() && !queue.isEmpty()) {
+                run(queue.poll());
+            }
+        }
+
+        private ReportedLoad report() {
+            return new ReportedLoad(running, queue.size(), load.slots());
+        }
+    }
+
+    private final class Vm {
+        private final int region;
+        private final Placement placement;
+        private final List<Call> waiting = new ArrayList<>();
+
+        Vm(int region, int number) {
+            this.region = region;
+            Map<DataCentreName, RegionName> regions = new HashMap<>();
+            for (int r = 0; r < load.serversPerRegion().length; r++) {
+                regions.put(dc(r), new RegionName("region-" + r));
+            }
+            placement = new Placement(
+                    new PlacementSettings(new VmName("vm-" + region + "-" + number), dc(region), regions, 1.5, 5),
+                    new SplittableRandom(region * 10L + number));
+        }
+
+        void wake() {
+            new ArrayList<>(waiting).forEach(Call::place);
+        }
+    }
+
+    private final class Call {
+        private final Vm vm;
+        private final String object;
+        private final double firstMs;
+        private final boolean again;
+        private final PlacementRequest request;
+        private final Set<BackendServerName> tried = new HashSet<>();
+        private Server server;
+        private boolean warm;
+        private double sentMs;
+        private boolean over;
+
+        Call(Vm vm, String object, double firstMs, boolean again) {
+            this.vm = vm;
+            this.object = object;
+            this.firstMs = firstMs;
+            this.again = again;
+            double left = firstMs + load.deadlineMs() - nowMs;
+            MonotonicTime now = now();
+            request = new PlacementRequest(
+                    route,
+                    SERVICE,
+                    Optional.of(object),
+                    Set.of(),
+                    now,
+                    now.plus(ms(load.targetMs())),
+                    now.plus(ms(Math.min(left, load.timeoutMs()))),
+                    tried);
+        }
+
+        double travelMs() {
+            return server.region == vm.region ? 1.4 : 12;
+        }
+
+        void place() {
+            if (over) {
+                return;
+            }
+            switch (vm.placement.decide(request, now())) {
+                case PlacementDecision.Send s -> {
+                    vm.waiting.remove(this);
+                    server = servers.get(s.name());
+                    warm = vm.placement.started(request, s.name(), now());
+                    tried.add(s.name());
+                    sentMs = nowMs;
+                    after(travelMs(), () -> server.arrive(this));
+                }
+                case PlacementDecision.Hold h -> {
+                    if (!vm.waiting.contains(this)) {
+                        vm.waiting.add(this);
+                    }
+                }
+                case PlacementDecision.Refuse r -> {
+                    vm.waiting.remove(this);
+                    refused(r.retryAfter().toMillis());
+                }
+            }
+        }
+
+        private void refused(double retryMs) {
+            over = true;
+            double left = firstMs + load.deadlineMs() - nowMs;
+            if (again || left < 100) {
+                score(0);
+                result.refused++;
+                return;
+            }
+            after(Math.min(retryMs, left / 3), () -> new Call(vm(vm.region), object, firstMs, true).place());
+        }
+
+        void ended(boolean ran, ReportedLoad l) {
+            Duration took = ms(nowMs - sentMs);
+            vm.placement.reported(server.entry.name(), l, now());
+            vm.placement.ended(
+                    request, server.entry, warm, ran ? new AttemptEnd.Answered(took) : new AttemptEnd.Shed(), now());
+            if (!over) {
+                if (ran) {
+                    over = true;
+                    boolean timely = nowMs - firstMs <= load.targetMs();
+                    result.inTarget += timely ? 1 : 0;
+                    result.late += timely ? 0 : 1;
+                    score(timely ? 1 : 0.2);
+                } else if (tried.size() < 2) {
+                    place();
+                } else {
+                    refused(150);
+                }
+            }
+            vm.wake();
+        }
+
+        private void score(double credit) {
+            double[] cell = result.bySecondPair.computeIfAbsent((int) (firstMs / 1_000), k -> new double[2]);
+            cell[0] += credit;
+            cell[1]++;
+            result.byRegion[vm.region][0] += credit;
+            result.byRegion[vm.region][1]++;
+            result.asked++;
+        }
+    }
+
+    private record Event(double atMs, long number, Runnable action) {}
+
+    private final Load load;
+    private final Random random;
+    private final TrafficRoute route;
+    private final Result result = new Result();
+    private final Map<BackendServerName, Server> servers = new HashMap<>();
+    private final List<List<Vm>> vms = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::number));
+    private double nowMs;
+    private long eventNumber;
+
+    private FleetSimulation(Load load, long seed) {
+        this.load = load;
+        this.random = new Random(seed);
+        this.route = new TrafficRoute(
+                "r",
+                "h",
+                "/",
+                List.of(new WeightedService(SERVICE, 1)),
+                Repetition.REPEATABLE,
+                ms(load.timeoutMs()),
+                ms(load.targetMs()),
+                2,
+                2,
+                true,
+                false,
+                Set.of());
+    }
+
+    /**
+     * Replays a load.
+     *
+     * @param load the load
+     * @param seed seed of its randomness
+     * @return what came of it
+     */
+    static Result replay(Load load, long seed) {
+        return new FleetSimulation(load, seed).play();
+    }
+
+    private Result play() {
+        int number = 0;
+        for (int r = 0; r < load.serversPerRegion().length; r++) {
+            for (int i = 0; i < load.serversPerRegion()[r]; i++) {
+                Server s = new Server("i-%04x".formatted(random.nextInt(1 << 16)) + number++, r);
+                servers.put(s.entry.name(), s);
+            }
+        }
+        for (int r = 0; r < load.serversPerRegion().length; r++) {
+            List<Vm> list = new ArrayList<>();
+            for (int i = 0; i < load.vmsPerRegion(); i++) {
+                Vm vm = new Vm(r, i);
+                vm.placement.configure(config());
+                vm.placement.servers(servers.values().stream().map(s -> s.entry).toList(), now());
+                list.add(vm);
+                every(25, vm::wake);
+            }
+            vms.add(list);
+            arrivals(r);
+        }
+        while (!events.isEmpty() && events.peek().atMs() < (load.lengthS() + 5) * 1_000) {
+            Event e = events.poll();
+            nowMs = e.atMs();
+            e.action().run();
+        }
+        return result;
+    }
+
+    private void every(double periodMs, Runnable action) {
+        after(periodMs, () -> {
+            action.run();
+            every(periodMs, action);
+        });
+    }
+
+    private void arrivals(int region) {
+        double s = nowMs / 1_000;
+        if (s >= load.lengthS()) {
+            return;
+        }
+        double wave = 1 + load.swing() * Math.sin(2 * Math.PI * (s / 36 + region / 3.0));
+        double burst = s >= load.burstFromS() && s < load.burstToS() ? load.burstFactor() : 1;
+        double rate = load.perSecondAndRegion() * wave * burst;
+        after(-Math.log(1 - random.nextDouble()) / rate * 1_000, () -> {
+            String object = region + "-" + random.nextInt(load.objectsPerRegion());
+            new Call(vm(region), object, nowMs, false).place();
+            arrivals(region);
+        });
+    }
+
+    private Vm vm(int region) {
+        return vms.get(region).get(random.nextInt(load.vmsPerRegion()));
+    }
+
+    private TrafficConfig config() {
+        return new TrafficConfig(
+                new ConfigVersion(1),
+                List.of(route),
+                List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 4)),
+                ClientLimits.INITIAL,
+                Optional.empty());
+    }
+
+    private void after(double delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, eventNumber++, action));
+    }
+
+    private MonotonicTime now() {
+        return new MonotonicTime((long) (nowMs * NANOS_PER_MS));
+    }
+
+    private static Duration ms(double ms) {
+        return Duration.ofNanos((long) (ms * NANOS_PER_MS));
+    }
+
+    private static DataCentreName dc(int region) {
+        return new DataCentreName("dc-" + region);
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
@@ -0,0 +1,163 @@
+package org.lycheetray.core.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.AccountPolicy;
+
+class FleetQuotaTest {
+    private static final double PER_S = 50;
+    private static final double BURST = 50;
+    private static final QuotaTolerance TOLERANCE = new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20);
+    private static final double BOUND = (PER_S * 5 + BURST) * 1.1 + 20;
+    private static final AccountPolicy ACCOUNT = account(PER_S, BURST);
+    private static final long STEP_MS = 10;
+
+    /** VMs that tell each other every 250 ms and when a report is due. */
+    private static final class Fleet {
+        private final List<FleetQuota> vms = new ArrayList<>();
+        private final Set<Integer> cutOff = new HashSet<>();
+        private final List<Long> admittedAt = new ArrayList<>();
+        private long nowMs;
+
+        Fleet(int size) {
+            for (int i = 0; i < size; i++) {
+                FleetQuota q = new FleetQuota(TOLERANCE);
+                q.configure(List.of(ACCOUNT), now());
+                Set<VmName> others = new HashSet<>();
+                for (int j = 0; j < size; j++) {
+                    if (j != i) {
+                        others.add(vm(j));
+                    }
+                }
+                q.members(others, now());
+                vms.add(q);
+            }
+        }
+
+        MonotonicTime now() {
+            return new MonotonicTime(nowMs * 1_000_000);
+        }
+
+        int run(long ms, double perSecondAndVm) {
+            int refused = 0;
+            double[] due = new double[vms.size()];
+            for (long end = nowMs + ms; nowMs < end; nowMs += STEP_MS) {
+                for (int i = 0; i < vms.size(); i++) {
+                    for (due[i] += perSecondAndVm * STEP_MS / 1_000; due[i] >= 1; due[i]--) {
+                        refused += admit(i) ? 0 : 1;
+                    }
+                    if (nowMs % 250 == 0 || vms.get(i).isReportDue()) {
+                        tell(i);
+                    }
+                }
+            }
+            return refused;
+        }
+
+        private boolean admit(int i) {
+            boolean ok = vms.get(i).admit(ACCOUNT, now()) instanceof QuotaDecision.Admitted;
+            if (ok) {
+                admittedAt.add(nowMs);
+            }
+            return ok;
+        }
+
+        private void tell(int from) {
+            Map<ClientAccountName, Long> totals = vms.get(from).admitted();
+            vms.get(from).reported();
+            for (int to = 0; to < vms.size(); to++) {
+                if (to != from && !cutOff.contains(from) && !cutOff.contains(to)) {
+                    vms.get(to).report(vm(from), 1, totals, now());
+                }
+            }
+        }
+
+        long worstWindow() {
+            return admittedAt.stream()
+                    .mapToLong(t -> admittedAt.stream()
+                            .filter(u -> u >= t && u < t + 5_000)
+                            .count())
+                    .max()
+                    .orElse(0);
+        }
+    }
+
+    @Test
+    void skewedLoadWithinTheRateIsNotRefused() {
+        Fleet fleet = new Fleet(8);
+        fleet.run(3_000, 0);
+
+        assertThat(fleet.run(10_000, PER_S * 0.9 / 8)).isZero();
+    }
+
+    @Test
+    void accountThatSendsTenTimesItsRateStaysWithinTheBound() {
+        Fleet fleet = new Fleet(8);
+        fleet.run(5_000, 0);
+
+        fleet.run(12_000, PER_S * 10 / 8);
+
+        assertThat(fleet.worstWindow()).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    void partsOfADividedFleetTogetherStayWithinTheBound() {
+        Fleet fleet = new Fleet(8);
+        fleet.run(5_000, 0);
+        fleet.cutOff.addAll(List.of(0, 1, 2));
+        fleet.run(2_000, 1);
+
+        fleet.run(12_000, PER_S * 10 / 8);
+
+        assertThat(fleet.worstWindow()).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    void totalOfANewLifeIsNotComparedWithTheOldOne() {
+        FleetQuota q = new FleetQuota(TOLERANCE);
+        MonotonicTime now = MonotonicTime.ZERO;
+        q.configure(List.of(ACCOUNT), now);
+        q.members(Set.of(vm(1)), now);
+        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), now);
+        MonotonicTime later = now.plus(Duration.ofMinutes(1));
+
+        q.report(vm(1), 2, Map.of(ACCOUNT.name(), 10L), later);
+
+        assertThat(IntStream.range(0, 30)
+                        .filter(i -> q.admit(ACCOUNT, later) instanceof QuotaDecision.Admitted)
+                        .count())
+                .isEqualTo(30);
+    }
+
+    @Test
+    void accountWithoutRateIsNeverRefused() {
+        FleetQuota q = new FleetQuota(TOLERANCE);
+        AccountPolicy free = account(0, 0);
+        q.configure(List.of(free), MonotonicTime.ZERO);
+
+        for (int i = 0; i < 1_000; i++) {
+            assertThat(q.admit(free, MonotonicTime.ZERO)).isInstanceOf(QuotaDecision.Admitted.class);
+        }
+    }
+
+    private static AccountPolicy account(double perSecond, double burst) {
+        return new AccountPolicy(
+                new ClientAccountName("acme"), Set.of("key"), OptionalInt.empty(), perSecond, burst, Set.of());
+    }
+
+    private static VmName vm(int i) {
+        return new VmName("vm-" + i);
+    }
+}
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/registry/ServerRegistryTest.java
@@ -0,0 +1,100 @@
+package org.lycheetray.core.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.time.MonotonicTime;
+
+class ServerRegistryTest {
+    private static final MonotonicTime START = MonotonicTime.ZERO;
+
+    private final ServerRegistry registry = new ServerRegistry();
+
+    @Test
+    void removalInCalmTakesEffectAtOnce() {
+        put("a", "b");
+
+        List<BackendServerName> gone = registry.removeAll(List.of(name("a")), false, START);
+
+        assertThat(gone).containsExactly(name("a"));
+        assertThat(registry.find(name("a"))).isEmpty();
+    }
+
+    @Test
+    void removalAfterDisturbanceWaitsForTheEntryToComeBack() {
+        put("a", "b");
+
+        registry.removeAll(List.of(name("a")), true, START);
+
+        assertThat(registry.find(name("a"))).isPresent();
+        assertThat(registry.expire(START.plus(ServerRegistry.RETURN_GRACE))).containsExactly(name("a"));
+        assertThat(registry.find(name("a"))).isEmpty();
+    }
+
+    @Test
+    void entryThatComesBackInTimeStays() {
+        put("a", "b");
+        registry.removeAll(List.of(name("a")), true, START);
+
+        put("a");
+
+        assertThat(registry.expire(START.plus(Duration.ofMinutes(1)))).isEmpty();
+        assertThat(registry.find(name("a"))).isPresent();
+    }
+
+    @Test
+    void manyRemovalsAtOnceAreTakenForALapse() {
+        put(names(8));
+
+        List<BackendServerName> gone = registry.removeAll(
+                IntStream.range(0, 5).mapToObj(i -> name("s" + i)).toList(), false, START);
+
+        assertThat(gone).isEmpty();
+        assertThat(registry.servers()).hasSize(8);
+    }
+
+    @Test
+    void drainingServerIsDroppedEvenAfterDisturbance() {
+        registry.put(ServerEntries.entry("a").draining().build());
+        put("b");
+
+        assertThat(registry.removeAll(List.of(name("a")), true, START)).containsExactly(name("a"));
+    }
+
+    @Test
+    void entryOfAnEarlierLifeIsIgnored() {
+        registry.put(ServerEntries.entry("a").incarnation(7).build());
+
+        assertThat(registry.put(ServerEntries.entry("a").incarnation(6).draining().build()))
+                .isFalse();
+
+        assertThat(registry.find(name("a")).orElseThrow().draining()).isFalse();
+    }
+
+    @Test
+    void listingDropsWhatItLacks() {
+        put("a", "b");
+
+        registry.replaceAll(List.of(ServerEntries.entry("b").build()), false, START);
+
+        assertThat(registry.servers()).extracting(RegisteredServer::name).containsExactly(name("b"));
+    }
+
+    private void put(String... names) {
+        for (String n : names) {
+            registry.put(ServerEntries.entry(n).build());
+        }
+    }
+
+    private static String[] names(int count) {
+        return IntStream.range(0, count).mapToObj(i -> "s" + i).toArray(String[]::new);
+    }
+
+    private static BackendServerName name(String n) {
+        return new BackendServerName(n);
+    }
+}
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -93,7 +93,8 @@
         view = new FleetView(settings.vm(), settings.regions());
         store = closer.add("store", adapter.store().apply(transport, settings.store()));
         follower = new StoreFollower(store, steering, transport.loop(), clock, random);
-        backends = new BackendClient(transport, adapter.servers(), clock);
+        backends = new BackendClient(
+                transport, adapter.servers(), clock, s -> steering.placement().suspect(s.name(), clock.monotonic()));
         metrics = new EdgeMetrics(new RequestLog(clock));
         exchanges = new Exchanges(new ExchangeParts(
                 steering, backends, adapter.callers(), adapter.servers(), metrics, clock, transport.loop()));
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -41,6 +41,7 @@
                 .with("id", r.id())
                 .with("route", route)
                 .with("account", r.account().map(ClientAccountName::value).orElse("none"))
+                .with("object", r.object().orElse("none"))
                 .with("service", r.service().map(Object::toString).orElse("none"))
                 .with("config", r.config())
                 .with("status", r.status())
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -10,6 +10,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -27,6 +28,7 @@
     private final Bootstrap bootstrap;
     private final BackendDialect dialect;
     private final Clock clock;
+    private final Consumer<RegisteredServer> lost;
     private final Map<BackendServerName, Pool> pools = new HashMap<>();
 
     /** Connections to one life of a server. */
@@ -47,11 +49,13 @@
      * @param transport the event loop
      * @param dialect how servers are spoken to
      * @param clock clock for idle times
+     * @param lost takes a server that ended an idle connection before its time
      */
-    public BackendClient(Transport transport, BackendDialect dialect, Clock clock) {
+    public BackendClient(Transport transport, BackendDialect dialect, Clock clock, Consumer<RegisteredServer> lost) {
         this.bootstrap = transport.client(CONNECT_TIMEOUT);
         this.dialect = dialect;
         this.clock = clock;
+        this.lost = lost;
     }
 
     /**
@@ -107,7 +111,12 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         ResponseDecoder decoder = new ResponseDecoder();
-                        holder[0] = new BackendConnection(ch, decoder, dialect, clock, () -> idle(pool, holder[0]));
+                        holder[0] = new BackendConnection(ch,
+                                decoder,
+                                dialect,
+                                clock,
+                                () -> idle(pool, holder[0]),
+                                () -> lost.accept(pool.server));
                         ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder[0]);
                     }
                 })
@@ -142,8 +151,9 @@
 
     private static void retire(Pool p) {
         p.retired = true;
-        p.idle.forEach(BackendConnection::close);
+        List<BackendConnection> idle = List.copyOf(p.idle);
         p.idle.clear();
+        idle.forEach(BackendConnection::close);
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -50,6 +50,7 @@
     private final BackendDialect dialect;
     private final Clock clock;
     private final Runnable onIdle;
+    private final Runnable onLost;
     private Attempt attempt;
     private HttpResponse head;
     private boolean stray;
@@ -60,22 +61,27 @@
     private Duration idleLimit = STANDARD_IDLE;
     private MonotonicTime idleSince;
 
-    BackendConnection(Channel channel, ResponseDecoder decoder, BackendDialect dialect, Clock clock, Runnable onIdle) {
+    BackendConnection(Channel channel, ResponseDecoder decoder, BackendDialect dialect, Clock clock, Runnable onIdle, Runnable onLost) {
         this.channel = channel;
         this.decoder = decoder;
         this.dialect = dialect;
         this.clock = clock;
         this.onIdle = onIdle;
+        this.onLost = onLost;
         this.idleSince = clock.monotonic();
     }
 
     boolean isReusable() {
-        return channel.isActive()
-                && !tainted
-                && clock.monotonic().since(idleSince).compareTo(idleLimit) < 0;
+        return channel.isActive() && isFresh();
+    }
+
+    /** Tells whether the server had no reason yet to end the connection. */
+    private boolean isFresh() {
+        return !tainted && clock.monotonic().since(idleSince).compareTo(idleLimit) < 0;
     }
 
     void close() {
+        tainted = true;
         var _ = channel.close();
     }
 
@@ -255,6 +261,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (attempt == null && isFresh()) {
+            onLost.run();
+        }
         if (!complete) {
             fail("connection closed before a whole answer");
         }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -411,6 +411,7 @@
                         id,
                         route.map(TrafficRoute::name),
                         account.map(AccountPolicy::name),
+                        placement == null ? Optional.empty() : placement.object(),
                         service,
                         version,
                         status,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/ExchangeObserver.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/ExchangeObserver.java
@@ -15,6 +15,7 @@
      * @param id the caller's identity of it
      * @param route name of its route
      * @param account its client account
+     * @param object what it concerns, if its route is sticky
      * @param service service that it was assigned to
      * @param config version of the configuration under which it was handled
      * @param status status that the caller got, 0 if the caller left before
@@ -26,6 +27,7 @@
             String id,
             Optional<String> route,
             Optional<ClientAccountName> account,
+            Optional<String> object,
             Optional<ServiceName> service,
             ConfigVersion config,
             int status,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
@@ -12,7 +12,9 @@
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ConfigVersion;
 import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.placement.Placement;
 import org.lycheetray.core.placement.PlacementSettings;
 import org.lycheetray.core.quota.FleetQuota;
@@ -34,6 +36,7 @@
  * <p>Versions of the configuration never go back, whichever order they arrive in.
  */
 public final class Steering {
+    private final EdgeSettings settings;
     private final Clock clock;
     private final RandomGenerator random;
     private final ServerRegistry registry = new ServerRegistry();
@@ -54,11 +57,13 @@
      * @param random breaks ties
      */
     public Steering(EdgeSettings settings, Clock clock, RandomGenerator random) {
+        this.settings = settings;
         this.clock = clock;
         this.random = random;
         EdgeSettings.Bounds b = settings.bounds();
         this.placement = new Placement(
-                new PlacementSettings(settings.dataCentre(), settings.regions(), b.coldOverage(), b.coldSlack()),
+                new PlacementSettings(
+                        settings.vm(), settings.dataCentre(), settings.regions(), b.coldOverage(), b.coldSlack()),
                 random);
         this.quota = new FleetQuota(b.quota());
         this.retries = new RetryAllowance(b.retries());
@@ -101,7 +106,7 @@
     }
 
     private void evacuationChanged() {
-        placement.evacuate(evacuated);
+        placement.evacuate(evacuated, clock.monotonic());
         LogEvent.of("evacuation-changed").with("evacuated", evacuated).info();
     }
 
@@ -238,14 +243,17 @@
     }
 
     /**
-     * Sets the number of VMs that share the fleet's limits.
+     * Sets the other VMs, which share the fleet's limits.
      *
-     * @param count VMs, this one included
+     * @param others the other VMs and their data centres
      */
-    public void vms(int count) {
-        vms = Math.max(1, count);
-        placement.vms(vms);
+    public void vms(Map<VmName, DataCentreName> others) {
+        vms = others.size() + 1;
+        Map<VmName, RegionName> regions = new HashMap<>();
+        others.forEach((vm, dc) -> regions.put(vm, settings.regions().getOrDefault(dc, new RegionName(dc.value()))));
+        placement.vms(regions);
         retries.vms(vms);
+        quota.members(others.keySet(), clock.monotonic());
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
@@ -159,8 +159,9 @@
 
     /** Tells the decisions how many VMs share the fleet's limits. */
     public void membersChanged() {
-        steering.vms(view.names().size() + 1);
-        steering.quota().members(view.names(), clock.monotonic());
+        Map<VmName, DataCentreName> others = new HashMap<>();
+        view.members().forEach(m -> others.put(m.vm(), m.dataCentre()));
+        steering.vms(others);
         LogEvent.of("members-changed").with("vms", view.names().size() + 1).info();
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -24,6 +24,9 @@
     /** Longest time that the store holds a call without changes: long calls are few calls, which cost. */
     private static final Duration FEED_WAIT = Duration.ofSeconds(5);
 
+    /** Pause after changes of backend servers, so that changes that come together take few calls. */
+    private static final Duration SERVERS_PAUSE = Duration.ofMillis(400);
+
     /** Time beyond the wait after which a call is given up: a slow store's answer still arrives within it. */
     private static final Duration ANSWER_TIME = Duration.ofMillis(1_500);
 
@@ -106,6 +109,19 @@
                     .info();
         }
         versions.put(topic, reading.version());
+        try {
+            take(topic, whole, reading);
+        } catch (RuntimeException e) {
+            LogEvent.of("reading-not-taken").with("topic", topic).with("cause", e).error();
+        }
+        if (topic == Topic.SERVERS && !reading.records().isEmpty()) {
+            var _ = loop.schedule(() -> next(topic), SERVERS_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            next(topic);
+        }
+    }
+
+    private void take(Topic topic, boolean whole, Reading reading) {
         boolean doubtful = isDoubtful();
         switch (topic) {
             case OPERATOR -> {
@@ -126,7 +142,6 @@
         if (whole || !reading.records().isEmpty()) {
             onChange.run();
         }
-        next(topic);
     }
 
     private boolean isDoubtful() {
