Placement keeps an object with the server that knows it

Load beyond a short wait moved to other servers, which were slow for the object and forgot another one for it; waiting time was taken for slowness of the server. Replayed in FleetSimulation (six, two and four servers in three regions, waves, burst). Now: an unknown object counts with more than its extra work, only unqueued answers of known objects tell a server's pace, waits are estimated by the usual work of the service. Ruled out: longer holding, smoothing of told load, distance (no gain in the replay).

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.model.BackendServerName;
@@ -41,10 +42,13 @@
     private static final double OTHER_REGION = 0.2;
 
     /**
-     * Part of the extra work of an unknown object that counts against the servers ranked first, second and so on for
-     * it: the first few are worth making acquainted with it.
+     * Part of the extra work of an unknown object that counts against a server that is not ranked first for it in its
+     * region: more than the work itself, since the server forgets another object for it.
      */
-    private static final double[] UNKNOWN_COST = {0, 0.45, 0.8, 1};
+    private static final double UNKNOWN_COST = 1.5;
+
+    /** The same for the server that is ranked first for the object in another region. */
+    private static final double UNKNOWN_COST_FIRST_ELSEWHERE = 0.25;
 
     /** Part of the target latency that a request may be held without prospects. */
     private static final double HOLD_SHARE = 0.1;
@@ -74,6 +78,7 @@
     private final Map<BackendServerName, ServerState> servers = new HashMap<>();
     private final Map<ServiceName, List<ServerState>> byService = new HashMap<>();
     private final Map<String, WorkTimes> workTimes = new HashMap<>();
+    private final Map<ServiceName, Double> usualWork = new HashMap<>();
     private Set<DataCentreName> evacuated = Set.of();
     private Map<ServiceName, TrafficService> limits = Map.of();
     private Map<VmName, RegionName> otherVms = Map.of();
@@ -306,19 +311,23 @@
         double cost = work;
         if (request.object().isPresent() && !warm) {
             int rank = rank(objectKey(request), s, considered);
-            cost = warmWork + UNKNOWN_COST[Math.min(rank, UNKNOWN_COST.length - 1)] * (coldWork - warmWork);
+            cost = warmWork + unknownCost(s, rank) * (coldWork - warmWork);
         }
-        double wait = Math.max(0, load + 1 - slots) * warmWork / slots;
+        double usual = usualWork.getOrDefault(request.service(), warmWork);
+        double wait = Math.max(0, load + 1 - slots) * usual * slow / slots;
         cost += wait + load / slots * TIE_BREAK * warmWork + distance(request.route(), s);
         cost *= 1 + random.nextDouble() * JITTER;
         return new Candidate(s, cost, wait, work, warm);
     }
 
     /** Preference for less loaded servers among those with room, as a part of the work. */
-    private static final double TIE_BREAK = 0.15;
+    private static final double TIE_BREAK = 0.3;
 
     private static final double JITTER = 0.01;
 
+    /** Weight of a request in the usual work of its service, by which waits are estimated. */
+    private static final double USUAL_SAMPLE = 0.05;
+
     private double distance(TrafficRoute route, ServerState s) {
         double target = route.targetLatency().toNanos();
         if (s.server().dataCentre().equals(settings.dataCentre())) {
@@ -328,6 +337,13 @@
         return target * (near ? OTHER_DATA_CENTRE : OTHER_REGION);
     }
 
+    private double unknownCost(ServerState s, int rank) {
+        if (rank > 0) {
+            return UNKNOWN_COST;
+        }
+        return s.region().equals(settings.region(settings.dataCentre())) ? 0 : UNKNOWN_COST_FIRST_ELSEWHERE;
+    }
+
     /** Position of a server among those of its region for an object; the same on every VM that sees the same servers. */
     private static int rank(String object, ServerState s, List<ServerState> considered) {
         long own = RendezvousHash.score(object, s.server().name().value()) >>> 1;
@@ -371,10 +387,12 @@
         if (s.isCold(now) || s.isSuspect(now)) {
             s.coldAllowance().take();
         }
+        boolean warm = request.object().isPresent() && s.isWarm(objectKey(request));
+        double expected = times(request.route()).nanos(warm);
+        usualWork.merge(request.service(), expected, (a, b) -> a + USUAL_SAMPLE * (b - a));
         if (request.object().isEmpty()) {
             return false;
         }
-        boolean warm = s.isWarm(objectKey(request));
         s.handled(objectKey(request));
         return warm;
     }
@@ -396,7 +414,11 @@
         }
         WorkTimes times = times(request.route());
         boolean unloaded = s.load(now) <= s.server().slots();
-        s.ended(end, Duration.ofNanos((long) times.nanos(warm)), now);
+        boolean telling = unloaded && (warm || request.object().isEmpty());
+        s.ended(
+                end,
+                telling ? Optional.of(Duration.ofNanos((long) times.nanos(warm))) : Optional.empty(),
+                now);
         if (end instanceof AttemptEnd.Broken || end instanceof AttemptEnd.Unreachable) {
             suspect(server.name(), now);
         }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -1,6 +1,7 @@
 package org.lycheetray.core.placement.internal;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.lycheetray.core.allowance.ColdAllowance;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.placement.AttemptEnd;
@@ -13,6 +14,9 @@
     /** Weight of a new sample in moving averages; a handful of answers outweigh the past. */
     private static final double SAMPLE = 0.25;
 
+    /** Weight of a new work time, which varies more than other samples. */
+    private static final double PACE_SAMPLE = 0.1;
+
     /** Time after which a told load says little: several requests' work. */
     private static final Duration LOAD_FADES = Duration.ofSeconds(2);
 
@@ -223,15 +227,15 @@
      * Counts the end of an attempt.
      *
      * @param end how it ended
-     * @param expected usual time of such a request at an unloaded server
+     * @param expected usual time of such a request at an unloaded server; empty if nothing follows from its time
      * @param now present time
      */
-    public void ended(AttemptEnd end, Duration expected, MonotonicTime now) {
+    public void ended(AttemptEnd end, Optional<Duration> expected, MonotonicTime now) {
         inFlight = Math.max(0, inFlight - 1);
         switch (end) {
             case AttemptEnd.Answered a -> {
                 well();
-                pace(a.took(), expected, now);
+                expected.ifPresent(e -> pace(a.took(), e, now));
             }
             case AttemptEnd.Failed f -> failing(now);
             case AttemptEnd.Shed s -> pause(SHED_PAUSE, now);
@@ -241,7 +245,8 @@
                 failing(now);
                 failedOnce(now);
             }
-            case AttemptEnd.GivenUp g -> pace(g.waited(), expected, now);
+            case AttemptEnd.GivenUp g ->
+                expected.filter(e -> e.compareTo(g.waited()) < 0).ifPresent(e -> pace(g.waited(), e, now));
         }
     }
 
@@ -271,7 +276,7 @@
 
     private void pace(Duration took, Duration expected, MonotonicTime now) {
         double ratio = Math.clamp((double) took.toNanos() / Math.max(1, expected.toNanos()), FASTEST, SLOWEST);
-        slowness = slowness(now) + SAMPLE * (ratio - slowness(now));
+        slowness = slowness(now) + PACE_SAMPLE * (ratio - slowness(now));
         slownessAt = now;
     }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/WorkTimes.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/WorkTimes.java
@@ -8,7 +8,7 @@
     private static final double SAMPLE = 0.1;
 
     /** First guesses, as parts of the route's target latency; a few answers replace them. */
-    private static final double COLD_GUESS = 1.4;
+    private static final double COLD_GUESS = 2;
 
     private static final double WARM_GUESS = 0.5;
 
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
@@ -142,7 +142,10 @@
 
         private void run(Call c) {
             running++;
-            boolean warm = known.containsKey(c.object);
+            boolean warm = known.put(c.object, true) != null;
+            if (known.size() > load.remembered()) {
+                known.remove(known.keySet().iterator().next());
+            }
             result.runs++;
             result.warm += warm ? 1 : 0;
             result.crossRegion += region == c.vm.region ? 0 : 1;
@@ -152,10 +155,6 @@
 
         private void done(Call c) {
             running--;
-            known.put(c.object, true);
-            if (known.size() > load.remembered()) {
-                known.remove(known.keySet().iterator().next());
-            }
             ReportedLoad l = report();
             after(c.travelMs(), () -> c.ended(true, l));
             while (running < load.slots() && !queue.isEmpty()) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.allowance.RetryAllowance;
 import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
@@ -23,6 +24,7 @@
 import org.lycheetray.core.split.WeightedSplit;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.AccountPolicy;
 import org.lycheetray.core.traffic.TrafficConfig;
 import org.lycheetray.core.traffic.TrafficRoute;
 import org.lycheetray.daemon.log.LogEvent;
@@ -115,6 +117,7 @@
         if (next.version().compareTo(known) <= 0) {
             return;
         }
+        logRates(next);
         config = Optional.of(next);
         placement.configure(next);
         quota.configure(next.accounts(), clock.monotonic());
@@ -129,6 +132,22 @@
                 .info();
     }
 
+    private void logRates(TrafficConfig next) {
+        Map<ClientAccountName, AccountPolicy> before = new HashMap<>();
+        config.map(TrafficConfig::accounts).orElse(List.of()).forEach(a -> before.put(a.name(), a));
+        for (AccountPolicy a : next.accounts()) {
+            AccountPolicy old = before.get(a.name());
+            if (old == null || old.perSecond() != a.perSecond() || old.burst() != a.burst()) {
+                LogEvent.of("account-rate")
+                        .with("account", a.name())
+                        .with("per-second", a.perSecond())
+                        .with("burst", a.burst())
+                        .with("config", next.version())
+                        .info();
+            }
+        }
+    }
+
     /**
      * Takes a complete reading of backend servers' entries.
      *
