Objects are dealt to regions by their servers; moves between regions are limited; lost store calls are noticed

Now VMs tell each other how far they know, and one that stays behind gives its call up; after a failure calls are short. Now each object has a region by the servers' numbers, and RegionMoves limits what moves with the load.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -79,6 +80,16 @@
     private final Map<ServiceName, List<ServerState>> byService = new HashMap<>();
     private final Map<String, WorkTimes> workTimes = new HashMap<>();
     private final Map<ServiceName, Double> usualWork = new HashMap<>();
+    private final RegionMoves moves;
+    private final Map<RegionName, Double> demand = new HashMap<>();
+    private final Map<ShareKey, RegionShares> shares = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ShareKey, RegionShares> eldest) {
+            return size() > REMEMBERED_SHARES;
+        }
+    };
     private Set<DataCentreName> evacuated = Set.of();
     private Map<ServiceName, TrafficService> limits = Map.of();
     private Map<VmName, RegionName> otherVms = Map.of();
@@ -93,6 +104,8 @@
     public Placement(PlacementSettings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
+        settings.regions().values().forEach(r -> demand.merge(r, 1.0, Double::sum));
+        this.moves = new RegionMoves(settings.mostShift());
     }
 
     /**
@@ -141,7 +154,10 @@
                 .distinct()
                 .count();
         if (regions > 1 && suspects.size() > OWN_FAULT_SHARE * servers.size()) {
-            suspects.keySet().stream().map(servers::get).filter(Objects::nonNull).forEach(o -> o.trust(now));
+            suspects.keySet().stream()
+                    .map(servers::get)
+                    .filter(Objects::nonNull)
+                    .forEach(o -> o.trust(now));
         }
     }
 
@@ -157,6 +173,7 @@
      * @param now present time
      */
     public void evacuate(Set<DataCentreName> dataCentres, MonotonicTime now) {
+        moves.lift(now);
         servers.values().stream()
                 .filter(s -> evacuated.contains(s.server().dataCentre())
                         && !dataCentres.contains(s.server().dataCentre()))
@@ -164,6 +181,15 @@
         evacuated = Set.copyOf(dataCentres);
     }
 
+    /**
+     * Replaces the limit on moves between regions.
+     *
+     * @param mostShift largest part of the requests that may change their region between two windows
+     */
+    public void limitMoves(double mostShift) {
+        moves.limit(mostShift);
+    }
+
     /**
      * Takes the servers that exist.
      *
@@ -181,6 +207,11 @@
                 servers.put(s.name(), new ServerState(s, settings.region(s.dataCentre()), now));
             }
         }
+        if (servers.values().stream()
+                .anyMatch(s ->
+                        !s.server().draining() && !names.contains(s.server().name()))) {
+            moves.lift(now);
+        }
         servers.keySet().retainAll(names);
         byService.clear();
         servers.values()
@@ -256,14 +287,28 @@
         List<ServerState> considered = well.isEmpty() ? List.of() : well;
         List<Candidate> result = new ArrayList<>(considered.size());
         WorkTimes times = times(request.route());
+        Set<RegionName> open = openRegions(considered, now);
+        RegionName planned = plannedRegion(request, allowed);
         for (ServerState s : considered) {
+            if (!open.contains(s.region())) {
+                continue;
+            }
             if (!(s.isCold(now) || s.isSuspect(now)) || hasColdToken(s, now)) {
-                result.add(candidate(request, s, times, considered, now));
+                result.add(candidate(request, s, times, considered, planned, now));
             }
         }
         return result;
     }
 
+    /** Regions that a request may move to; all of them if it could not be served otherwise. */
+    private Set<RegionName> openRegions(List<ServerState> considered, MonotonicTime now) {
+        Set<RegionName> all = new HashSet<>();
+        considered.forEach(s -> all.add(s.region()));
+        Set<RegionName> open = new HashSet<>(all);
+        open.removeIf(r -> !moves.isAllowed(r, now));
+        return open.isEmpty() ? all : open;
+    }
+
     private boolean isAllowed(ServerState s, PlacementRequest request) {
         return !s.server().draining()
                 && !evacuated.contains(s.server().dataCentre())
@@ -291,16 +336,20 @@
         int rank = 0;
         for (Map.Entry<VmName, RegionName> o : otherVms.entrySet()) {
             boolean otherNear = s.region().equals(o.getValue());
-            boolean first = otherNear == near
-                    ? RendezvousHash.score(server, o.getKey().value()) >>> 1 > own
-                    : otherNear;
+            boolean first =
+                    otherNear == near ? RendezvousHash.score(server, o.getKey().value()) >>> 1 > own : otherNear;
             rank += first ? 1 : 0;
         }
         return rank;
     }
 
     private Candidate candidate(
-            PlacementRequest request, ServerState s, WorkTimes times, List<ServerState> considered, MonotonicTime now) {
+            PlacementRequest request,
+            ServerState s,
+            WorkTimes times,
+            List<ServerState> considered,
+            RegionName planned,
+            MonotonicTime now) {
         double slow = s.slowness(now);
         double load = s.load(now);
         int slots = s.server().slots();
@@ -311,11 +360,11 @@
         double cost = work;
         if (request.object().isPresent() && !warm) {
             int rank = rank(objectKey(request), s, considered);
-            cost = warmWork + unknownCost(s, rank) * (coldWork - warmWork);
+            cost = warmWork + unknownCost(s, rank, planned) * (coldWork - warmWork);
         }
         double usual = usualWork.getOrDefault(request.service(), warmWork);
         double wait = Math.max(0, load + 1 - slots) * usual * slow / slots;
-        cost += wait + load / slots * TIE_BREAK * warmWork + distance(request.route(), s);
+        cost += wait + load / slots * TIE_BREAK * warmWork + distance(request.route(), s, planned);
         cost *= 1 + random.nextDouble() * JITTER;
         return new Candidate(s, cost, wait, work, warm);
     }
@@ -325,23 +374,42 @@
 
     private static final double JITTER = 0.01;
 
+    /** Plans of shares that are kept: a few for each service, as servers come and go. */
+    private static final int REMEMBERED_SHARES = 64;
+
     /** Weight of a request in the usual work of its service, by which waits are estimated. */
     private static final double USUAL_SAMPLE = 0.05;
 
-    private double distance(TrafficRoute route, ServerState s) {
+    private double distance(TrafficRoute route, ServerState s, RegionName planned) {
         double target = route.targetLatency().toNanos();
         if (s.server().dataCentre().equals(settings.dataCentre())) {
             return 0;
         }
-        boolean near = s.region().equals(settings.region(settings.dataCentre()));
+        boolean near = s.region().equals(settings.region(settings.dataCentre()))
+                || s.region().equals(planned);
         return target * (near ? OTHER_DATA_CENTRE : OTHER_REGION);
     }
 
-    private double unknownCost(ServerState s, int rank) {
+    /** Region whose servers should know the request's object; the own one for requests without. */
+    private RegionName plannedRegion(PlacementRequest request, List<ServerState> allowed) {
+        RegionName own = settings.region(settings.dataCentre());
+        if (request.object().isEmpty() || allowed.isEmpty()) {
+            return own;
+        }
+        Map<RegionName, Integer> slots = new HashMap<>();
+        allowed.forEach(s -> slots.merge(s.region(), s.server().slots(), Integer::sum));
+        return shares.computeIfAbsent(
+                        new ShareKey(request.service(), slots), k -> RegionShares.plan(own, slots, demand))
+                .of(objectKey(request));
+    }
+
+    private record ShareKey(ServiceName service, Map<RegionName, Integer> slots) {}
+
+    private static double unknownCost(ServerState s, int rank, RegionName planned) {
         if (rank > 0) {
             return UNKNOWN_COST;
         }
-        return s.region().equals(settings.region(settings.dataCentre())) ? 0 : UNKNOWN_COST_FIRST_ELSEWHERE;
+        return s.region().equals(planned) ? 0 : UNKNOWN_COST_FIRST_ELSEWHERE;
     }
 
     /** Position of a server among those of its region for an object; the same on every VM that sees the same servers. */
@@ -384,6 +452,7 @@
             return false;
         }
         s.started();
+        moves.sent(s.region(), now);
         if (s.isCold(now) || s.isSuspect(now)) {
             s.coldAllowance().take();
         }
@@ -415,11 +484,9 @@
         WorkTimes times = times(request.route());
         boolean unloaded = s.load(now) <= s.server().slots();
         boolean telling = unloaded && (warm || request.object().isEmpty());
-        s.ended(
-                end,
-                telling ? Optional.of(Duration.ofNanos((long) times.nanos(warm))) : Optional.empty(),
-                now);
+        s.ended(end, telling ? Optional.of(Duration.ofNanos((long) times.nanos(warm))) : Optional.empty(), now);
         if (end instanceof AttemptEnd.Broken || end instanceof AttemptEnd.Unreachable) {
+            moves.lift(now);
             suspect(server.name(), now);
         }
         if (end instanceof AttemptEnd.Answered a && unloaded) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementSettings.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementSettings.java
@@ -13,13 +13,15 @@
  * @param regions region of every data centre
  * @param coldOverage factor by which a cold server's rate may be exceeded
  * @param coldSlack requests in a second that may come on top
+ * @param mostShift largest part of the requests that may change their region between two windows
  */
 public record PlacementSettings(
         VmName vm,
         DataCentreName dataCentre,
         Map<DataCentreName, RegionName> regions,
         double coldOverage,
-        double coldSlack) {
+        double coldSlack,
+        double mostShift) {
     /** Copies the map. */
     public PlacementSettings {
         regions = Map.copyOf(regions);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
@@ -56,7 +56,8 @@
             double burstFactor,
             double burstFromS,
             double burstToS,
-            double lengthS) {}
+            double lengthS,
+            double mostShift) {}
 
     /** What came of it. */
     static final class Result {
@@ -70,6 +71,41 @@
         int shed;
         final Map<Integer, double[]> bySecondPair = new HashMap<>();
         final double[][] byRegion = new double[3][2];
+        final List<double[]> sends = new ArrayList<>();
+
+        /** Largest part of a region's requests that changed their region from one window of 2 s to the next. */
+        double worstShift() {
+            double worst = 0;
+            for (int r = 0; r < byRegion.length; r++) {
+                for (double t = 0; t < 28_000; t += 500) {
+                    worst = Math.max(worst, shift(r, t));
+                }
+            }
+            return worst;
+        }
+
+        private double shift(int region, double fromMs) {
+            double[] a = new double[byRegion.length];
+            double[] b = new double[byRegion.length];
+            double na = 0;
+            double nb = 0;
+            for (double[] s : sends) {
+                if (s[1] == region && s[0] >= fromMs && s[0] < fromMs + 4_000) {
+                    if (s[0] < fromMs + 2_000) {
+                        a[(int) s[2]]++;
+                        na++;
+                    } else {
+                        b[(int) s[2]]++;
+                        nb++;
+                    }
+                }
+            }
+            double moved = 0;
+            for (int i = 0; i < a.length; i++) {
+                moved += Math.max(0, b[i] / Math.max(1, nb) - a[i] / Math.max(1, na));
+            }
+            return na < 20 || nb < 20 ? 0 : moved;
+        }
 
         double credit() {
             return (inTarget + 0.2 * late) / asked;
@@ -149,6 +185,7 @@
             result.runs++;
             result.warm += warm ? 1 : 0;
             result.crossRegion += region == c.vm.region ? 0 : 1;
+            result.sends.add(new double[] {nowMs, c.vm.region, region});
             double factor = Math.max(0.3, 1 + 0.15 * random.nextGaussian());
             after(load.workMs() * factor * (warm ? 0.3 : 1), () -> done(c));
         }
@@ -179,7 +216,8 @@
                 regions.put(dc(r), new RegionName("region-" + r));
             }
             placement = new Placement(
-                    new PlacementSettings(new VmName("vm-" + region + "-" + number), dc(region), regions, 1.5, 5),
+                    new PlacementSettings(
+                            new VmName("vm-" + region + "-" + number), dc(region), regions, 1.5, 5, load.mostShift()),
                     new SplittableRandom(region * 10L + number));
         }
 
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
@@ -5,7 +5,22 @@
 class PlacementLoadTest {
     private static FleetSimulation.Load reads(double factor, double burst) {
         return new FleetSimulation.Load(
-                new int[] {6, 2, 4}, 3, 3, 640, 400, 3_000, 1_500, 24.3 * factor, 0.55, 24, 25, burst, 10, 13, 32);
+                new int[] {6, 2, 4},
+                3,
+                3,
+                640,
+                400,
+                3_000,
+                1_500,
+                24.3 * factor,
+                0.55,
+                24,
+                25,
+                burst,
+                10,
+                13,
+                32,
+                0.15);
     }
 
     @Test
--- a/lycheetray-core/src/test/java/org/lycheetray/core/registry/ServerRegistryTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/registry/ServerRegistryTest.java
@@ -69,7 +69,8 @@
     void entryOfAnEarlierLifeIsIgnored() {
         registry.put(ServerEntries.entry("a").incarnation(7).build());
 
-        assertThat(registry.put(ServerEntries.entry("a").incarnation(6).draining().build()))
+        assertThat(registry.put(
+                        ServerEntries.entry("a").incarnation(6).draining().build()))
                 .isFalse();
 
         assertThat(registry.find(name("a")).orElseThrow().draining()).isFalse();
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -98,7 +98,7 @@
         metrics = new EdgeMetrics(new RequestLog(clock));
         exchanges = new Exchanges(new ExchangeParts(
                 steering, backends, adapter.callers(), adapter.servers(), metrics, clock, transport.loop()));
-        enrolment = new Enrolment(transport, store, view, steering, this::isServing, clock);
+        enrolment = new Enrolment(transport, store, view, steering, follower, this::isServing, clock);
         front = closer.add("front", new Front(transport, settings.callers(), frontParts()));
         closer.add("readiness", new SmallPages(transport, settings.readiness(), this::readiness));
         closer.add("lookups", new SmallPages(transport, settings.lookups(), this::lookup));
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -111,7 +111,8 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         ResponseDecoder decoder = new ResponseDecoder();
-                        holder[0] = new BackendConnection(ch,
+                        holder[0] = new BackendConnection(
+                                ch,
                                 decoder,
                                 dialect,
                                 clock,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -61,7 +61,13 @@
     private Duration idleLimit = STANDARD_IDLE;
     private MonotonicTime idleSince;
 
-    BackendConnection(Channel channel, ResponseDecoder decoder, BackendDialect dialect, Clock clock, Runnable onIdle, Runnable onLost) {
+    BackendConnection(
+            Channel channel,
+            ResponseDecoder decoder,
+            BackendDialect dialect,
+            Clock clock,
+            Runnable onIdle,
+            Runnable onLost) {
         this.channel = channel;
         this.decoder = decoder;
         this.dialect = dialect;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
@@ -65,7 +65,12 @@
         EdgeSettings.Bounds b = settings.bounds();
         this.placement = new Placement(
                 new PlacementSettings(
-                        settings.vm(), settings.dataCentre(), settings.regions(), b.coldOverage(), b.coldSlack()),
+                        settings.vm(),
+                        settings.dataCentre(),
+                        settings.regions(),
+                        b.coldOverage(),
+                        b.coldSlack(),
+                        b.mostShift()),
                 random);
         this.quota = new FleetQuota(b.quota());
         this.retries = new RetryAllowance(b.retries());
@@ -249,6 +254,7 @@
         quota.tolerate(b.quota());
         config.ifPresent(c -> quota.configure(c.accounts(), clock.monotonic()));
         retries.limit(b.retries());
+        placement.limitMoves(b.mostShift());
     }
 
     /** Does what is due by time alone. */
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Enrolment.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Enrolment.java
@@ -14,6 +14,7 @@
 import org.lycheetray.edge.exchange.Steering;
 import org.lycheetray.edge.settings.EdgeSettings;
 import org.lycheetray.edge.store.FleetStore;
+import org.lycheetray.edge.store.StoreFollower;
 import reactor.core.publisher.Mono;
 
 /**
@@ -30,6 +31,7 @@
     private final FleetStore store;
     private final FleetView view;
     private final Steering steering;
+    private final StoreFollower follower;
     private final BooleanSupplier serving;
     private final Clock clock;
     private Optional<FleetMember> self = Optional.empty();
@@ -42,6 +44,7 @@
      * @param store holds the VMs' records
      * @param view takes the other VMs
      * @param steering is told how many VMs there are
+     * @param follower learns whether other VMs are ahead
      * @param serving true if look-ups may name this VM
      * @param clock the clock
      */
@@ -50,12 +53,14 @@
             FleetStore store,
             FleetView view,
             Steering steering,
+            StoreFollower follower,
             BooleanSupplier serving,
             Clock clock) {
         this.transport = transport;
         this.store = store;
         this.view = view;
         this.steering = steering;
+        this.follower = follower;
         this.serving = serving;
         this.clock = clock;
     }
@@ -79,7 +84,7 @@
                     FleetMember me = new FleetMember(
                             settings.vm(), incarnation, settings.dataCentre(), settings.callers(), settings.reports());
                     self = Optional.of(me);
-                    Reports r = new Reports(transport, me, view, steering, serving, clock);
+                    Reports r = new Reports(transport, me, view, steering, follower, serving, clock);
                     reports = Optional.of(r);
                     recorded(members);
                     LogEvent.of("enrolled")
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
@@ -23,6 +23,8 @@
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.edge.Transport;
 import org.lycheetray.edge.exchange.Steering;
+import org.lycheetray.edge.store.StoreFollower;
+import org.lycheetray.edge.store.Topic;
 import org.lycheetray.protocol.MessageCodec;
 import org.lycheetray.protocol.generated.AccountTotal;
 import org.lycheetray.protocol.generated.VmReport;
@@ -36,6 +38,7 @@
     private final FleetMember self;
     private final FleetView view;
     private final Steering steering;
+    private final StoreFollower follower;
     private final BooleanSupplier serving;
     private final Clock clock;
     private final Channel socket;
@@ -48,6 +51,7 @@
      * @param self this life of this VM
      * @param view takes what is heard
      * @param steering takes the totals
+     * @param follower learns whether other VMs are ahead
      * @param serving true if look-ups may name this VM
      * @param clock the clock
      */
@@ -56,11 +60,13 @@
             FleetMember self,
             FleetView view,
             Steering steering,
+            StoreFollower follower,
             BooleanSupplier serving,
             Clock clock) {
         this.self = self;
         this.view = view;
         this.steering = steering;
+        this.follower = follower;
         this.serving = serving;
         this.clock = clock;
         this.socket = transport
@@ -84,7 +90,10 @@
 
     private static void logBind(Throwable cause) {
         if (cause != null) {
-            LogEvent.of("reports-not-received").with("step", "bind").with("cause", cause).error();
+            LogEvent.of("reports-not-received")
+                    .with("step", "bind")
+                    .with("cause", cause)
+                    .error();
         }
     }
 
@@ -118,6 +127,7 @@
         r.setServing(serving.getAsBoolean());
         r.setAdmitted(totals);
         r.setConfigVersion(steering.version().number());
+        r.setServersVersion(follower.serversVersion());
         return r;
     }
 
@@ -151,6 +161,9 @@
         int before = view.names().size();
         if (view.heard(member, r.getSequence(), r.isServing(), now)) {
             steering.quota().report(member.vm(), member.incarnation(), totals, now);
+            follower.othersKnow(
+                    Topic.OPERATOR, r.getConfigVersion(), steering.version().number());
+            follower.othersKnow(Topic.SERVERS, r.getServersVersion(), follower.position(Topic.SERVERS));
         }
         if (view.names().size() != before) {
             membersChanged();
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSetting.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSetting.java
@@ -43,7 +43,9 @@
     /** Factor for cold servers. */
     COLD_OVERAGE("factor by which a cold backend server's rate may be exceeded", "1.5"),
     /** Requests on top for cold servers. */
-    COLD_SLACK("requests in a second that a cold backend server may get on top", "5");
+    COLD_SLACK("requests in a second that a cold backend server may get on top", "5"),
+    /** Limit on moves between regions. */
+    MAX_SHIFT("largest part of a region's requests that may change the region they run in within 2 s", "0.15");
 
     /** Begins the name of every setting in file and environment. */
     public static final String PREFIX = "LYCHEETRAY_";
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSettings.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSettings.java
@@ -62,6 +62,7 @@
      * @param quota what is tolerated beyond a client account's rate
      * @param coldOverage factor by which a cold server's rate may be exceeded
      * @param coldSlack requests in a second that a cold server may get on top
+     * @param mostShift largest part of a region's requests that may change the region they run in within 2 s
      */
     public record Bounds(
             Duration grace,
@@ -69,5 +70,6 @@
             RetryAllowance.RetryLimits retries,
             QuotaTolerance quota,
             double coldOverage,
-            double coldSlack) {}
+            double coldSlack,
+            double mostShift) {}
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSettingsReader.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSettingsReader.java
@@ -102,7 +102,8 @@
                         number(EdgeSetting.QUOTA_OVERAGE),
                         number(EdgeSetting.QUOTA_SLACK)),
                 number(EdgeSetting.COLD_OVERAGE),
-                number(EdgeSetting.COLD_SLACK));
+                number(EdgeSetting.COLD_SLACK),
+                number(EdgeSetting.MAX_SHIFT));
     }
 
     private static Map<DataCentreName, RegionName> regions(String text) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -13,6 +13,7 @@
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.edge.exchange.Steering;
+import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
 /**
@@ -30,6 +31,12 @@
     /** Time beyond the wait after which a call is given up: a slow store's answer still arrives within it. */
     private static final Duration ANSWER_TIME = Duration.ofMillis(1_500);
 
+    /** Time that the store holds a call right after a failure, when the next call may be lost as well. */
+    private static final Duration CAUTIOUS_WAIT = Duration.ofMillis(300);
+
+    /** Time for which another VM may be ahead before the present call is taken for lost. */
+    private static final Duration BEHIND_LIMIT = Duration.ofMillis(500);
+
     /** First pause after a failed call; it doubles with each further failure. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(150);
 
@@ -48,7 +55,10 @@
     private final Map<Topic, Integer> failures = new EnumMap<>(Topic.class);
     private final Set<Topic> lost = EnumSet.noneOf(Topic.class);
     private Optional<MonotonicTime> lastTrouble = Optional.empty();
+    private final Map<Topic, Disposable> calls = new EnumMap<>(Topic.class);
+    private final Map<Topic, Behind> behind = new EnumMap<>(Topic.class);
     private boolean stopped;
+    private long serversVersion;
     private Runnable onChange = () -> {};
 
     /**
@@ -80,6 +90,25 @@
         }
     }
 
+    /**
+     * How far everything is known.
+     *
+     * @param topic the kind of records
+     * @return version of the store, the largest there is while nothing was read yet
+     */
+    public long position(Topic topic) {
+        return versions.getOrDefault(topic, Long.MAX_VALUE);
+    }
+
+    /**
+     * How far changes of backend servers are known.
+     *
+     * @return version of the store at the last change that was read
+     */
+    public long serversVersion() {
+        return serversVersion;
+    }
+
     /** Ends reading. */
     public void stop() {
         stopped = true;
@@ -90,13 +119,51 @@
             return;
         }
         Long version = versions.get(topic);
+        Duration wait = failures.containsKey(topic) ? CAUTIOUS_WAIT : FEED_WAIT;
         Mono<Reading> call = version == null
                 ? store.list(topic).timeout(ANSWER_TIME)
-                : store.changes(topic, version, FEED_WAIT).timeout(FEED_WAIT.plus(ANSWER_TIME));
-        call.subscribe(
-                r -> loop.execute(() -> read(topic, version == null, r)), e -> loop.execute(() -> failed(topic, e)));
+                : store.changes(topic, version, wait).timeout(wait.plus(ANSWER_TIME));
+        calls.put(
+                topic,
+                call.subscribe(
+                        r -> loop.execute(() -> read(topic, version == null, r)),
+                        e -> loop.execute(() -> failed(topic, e))));
+    }
+
+    /**
+     * Takes what another VM knows; if this one stays behind, its present call was lost on the way.
+     *
+     * @param topic what it knows
+     * @param version how far
+     * @param known how far this VM knows the same
+     */
+    public void othersKnow(Topic topic, long version, long known) {
+        Behind before = behind.get(topic);
+        if (before != null && before.known() != known) {
+            behind.remove(topic);
+        }
+        if (version <= known || stopped) {
+            return;
+        }
+        MonotonicTime now = clock.monotonic();
+        Behind b = behind.computeIfAbsent(topic, t -> new Behind(known, now));
+        Disposable call = calls.get(topic);
+        if (now.since(b.since()).compareTo(BEHIND_LIMIT) > 0 && call != null && !call.isDisposed()) {
+            behind.remove(topic);
+            LogEvent.of("store-call-lost")
+                    .with("topic", topic)
+                    .with("known", known)
+                    .with("others-know", version)
+                    .warn();
+            call.dispose();
+            failures.merge(topic, 1, Integer::sum);
+            next(topic);
+        }
     }
 
+    /** Since when another VM has been ahead. */
+    private record Behind(long known, MonotonicTime since) {}
+
     private void read(Topic topic, boolean whole, Reading reading) {
         if (stopped) {
             return;
@@ -112,7 +179,10 @@
         try {
             take(topic, whole, reading);
         } catch (RuntimeException e) {
-            LogEvent.of("reading-not-taken").with("topic", topic).with("cause", e).error();
+            LogEvent.of("reading-not-taken")
+                    .with("topic", topic)
+                    .with("cause", e)
+                    .error();
         }
         if (topic == Topic.SERVERS && !reading.records().isEmpty()) {
             var _ = loop.schedule(() -> next(topic), SERVERS_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
@@ -132,6 +202,7 @@
                 }
             }
             case SERVERS -> {
+                serversVersion = Math.max(serversVersion, reading.lastChange());
                 if (whole) {
                     steering.serverRecords(reading, doubtful);
                 } else {
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -288,4 +288,6 @@
   7: bool serving
   8: list<AccountTotal> admitted
   9: i64 configVersion
+  /** Version of the store at the last change of backend servers that the VM has seen. */
+  10: i64 serversVersion
 }
