--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
@@ -80,6 +81,7 @@
     private final Front front;
     private final EdgeMetrics metrics;
     private volatile EdgeSettings.Bounds bounds;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     private Edge(EdgeSettings settings, EdgeAdapter adapter, Clock clock) {
@@ -251,6 +253,9 @@
     /** Leaves as planned: is no longer named, serves callers that do not know yet, finishes what runs, then closes. */
     @Override
     public void close() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
         MonotonicTime start = clock.monotonic();
         MonotonicTime limit = start.plus(Duration.ofNanos((long) (bounds.grace().toNanos() * STOP_SHARE)));
         MonotonicTime serveUntil = start.plus(SERVE_ON);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -192,10 +192,11 @@
         tainted |= !HttpUtil.isKeepAlive(head);
         keepAlive(h);
         Attempt a = attempt;
+        AttemptResult result = result(status, h);
         if (!channel.isActive()) {
             release();
         }
-        a.end(result(status, h));
+        a.end(result);
     }
 
     private AttemptResult result(int status, HttpHeaders h) {
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -0,0 +1,231 @@
+package org.lycheetray.edge;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.lycheetray.core.allowance.RetryAllowance;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.model.ConfigVersion;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.quota.QuotaTolerance;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.core.traffic.AccountPolicy;
+import org.lycheetray.core.traffic.ClientLimits;
+import org.lycheetray.core.traffic.Repetition;
+import org.lycheetray.core.traffic.TrafficConfig;
+import org.lycheetray.core.traffic.TrafficRoute;
+import org.lycheetray.core.traffic.TrafficService;
+import org.lycheetray.core.traffic.WeightedService;
+import org.lycheetray.edge.settings.EdgeSettings;
+import org.lycheetray.edge.store.StoreRecord;
+import org.lycheetray.edge.store.Topic;
+
+/** One edge on loopback with a store in memory, scripted servers and callers on plain sockets. */
+final class EdgeFixture implements AutoCloseable {
+    static final ServiceName SERVICE = new ServiceName("svc");
+    static final String KEY = "secret-of-acme";
+    private static final DataCentreName DC = new DataCentreName("dc");
+    private static final int TIMEOUT_MS = 20_000;
+
+    /** What a caller got. */
+    record Reply(int status, String head, String body) {
+        boolean hasHeader(String name) {
+            return head.toLowerCase(Locale.ROOT).contains("\r\n" + name.toLowerCase(Locale.ROOT) + ":");
+        }
+    }
+
+    private final MemoryStore store = new MemoryStore();
+    private final EdgeSettings settings;
+    private final Edge edge;
+    private final List<Socket> sockets = new ArrayList<>();
+    private long incarnation;
+
+    /** An edge that stops at once. */
+    EdgeFixture() throws IOException {
+        this(Duration.ofMillis(100));
+    }
+
+    EdgeFixture(Duration grace) throws IOException {
+        PlainDialect dialect = new PlainDialect();
+        settings = new EdgeSettings(
+                new VmName("vm"),
+                DC,
+                Map.of(DC, new RegionName("region")),
+                freeEndpoint(),
+                freeEndpoint(),
+                freeEndpoint(),
+                freeEndpoint(),
+                Optional.empty(),
+                new Endpoint("127.0.0.1", 1),
+                430,
+                new EdgeSettings.Bounds(
+                        grace,
+                        Duration.ofSeconds(5),
+                        new RetryAllowance.RetryLimits(0.2, 50, Duration.ofSeconds(10)),
+                        new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20),
+                        1.5,
+                        5,
+                        0.15));
+        edge = Edge.start(settings, new EdgeAdapter(dialect, dialect, dialect, (t, a) -> store), Clock.system());
+    }
+
+    private static Endpoint freeEndpoint() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Endpoint("127.0.0.1", s.getLocalPort());
+        }
+    }
+
+    Edge edge() {
+        return edge;
+    }
+
+    void configure(long version, AccountPolicy... accounts) {
+        store.write(
+                Topic.OPERATOR,
+                new StoreRecord.Config(new TrafficConfig(
+                        new ConfigVersion(version),
+                        List.of(
+                                route("reads", "/read/", Repetition.REPEATABLE),
+                                route("orders", "/order/", Repetition.AT_MOST_ONCE)),
+                        List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 4)),
+                        ClientLimits.INITIAL,
+                        accounts.length == 0 ? Optional.empty() : Optional.of(List.of(accounts)))));
+    }
+
+    static AccountPolicy acme(double perSecond, double burst) {
+        return new AccountPolicy(
+                new ClientAccountName("acme"), Set.of(KEY), OptionalInt.empty(), perSecond, burst, Set.of());
+    }
+
+    private static TrafficRoute route(String name, String prefix, Repetition repetition) {
+        return new TrafficRoute(
+                name,
+                "host",
+                prefix,
+                List.of(new WeightedService(SERVICE, 1)),
+                repetition,
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(5),
+                3,
+                1,
+                false,
+                false,
+                Set.of());
+    }
+
+    void register(String name, StandinServer server, boolean draining) {
+        store.write(
+                Topic.SERVERS,
+                new StoreRecord.Server(new RegisteredServer(
+                        new BackendServerName(name),
+                        ++incarnation,
+                        SERVICE,
+                        new Endpoint("127.0.0.1", server.port()),
+                        DC,
+                        3,
+                        draining,
+                        Duration.ZERO)));
+    }
+
+    /** Waits until requests are served. */
+    void awaitReady() throws IOException, InterruptedException {
+        long limit = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
+        while (page(settings.readiness(), "/ready").status() != 200) {
+            if (System.nanoTime() > limit) {
+                throw new IllegalStateException("not ready in time");
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    Reply readiness() throws IOException {
+        return page(settings.readiness(), "/ready");
+    }
+
+    Reply lookup() throws IOException {
+        return page(settings.lookups(), "/lookup");
+    }
+
+    private Reply page(Endpoint at, String uri) throws IOException {
+        Socket s = connect(at);
+        send(s, "GET " + uri + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        return read(new BufferedInputStream(s.getInputStream()));
+    }
+
+    Socket caller() throws IOException {
+        return connect(settings.callers());
+    }
+
+    private Socket connect(Endpoint at) throws IOException {
+        Socket s = new Socket(at.host(), at.port());
+        s.setSoTimeout(TIMEOUT_MS);
+        sockets.add(s);
+        return s;
+    }
+
+    static void send(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        s.getOutputStream().flush();
+    }
+
+    static String get(String path, String id, String more) {
+        return "GET " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id + "\r\n" + more + "\r\n";
+    }
+
+    static String post(String path, String id, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id + "\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    Reply ask(String request) throws IOException {
+        Socket s = caller();
+        send(s, request);
+        return read(new BufferedInputStream(s.getInputStream()));
+    }
+
+    static Reply read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                return new Reply(0, head.toString(StandardCharsets.ISO_8859_1), "");
+            }
+            head.write(b);
+        }
+        String text = head.toString(StandardCharsets.ISO_8859_1);
+        int length = text.lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+                .mapToInt(l -> Integer.parseInt(l.substring(l.indexOf(':') + 1).strip()))
+                .findFirst()
+                .orElse(0);
+        byte[] body = in.readNBytes(length);
+        return new Reply(Integer.parseInt(text.substring(9, 12)), text, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket s : sockets) {
+            s.close();
+        }
+        edge.close();
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/MemoryStore.java
@@ -0,0 +1,86 @@
+package org.lycheetray.edge;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.lycheetray.core.fleet.FleetMember;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.edge.store.FleetStore;
+import org.lycheetray.edge.store.Reading;
+import org.lycheetray.edge.store.StoreRecord;
+import org.lycheetray.edge.store.Topic;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** A store in memory, filled by tests. */
+final class MemoryStore implements FleetStore {
+    private static final Duration POLL = Duration.ofMillis(10);
+
+    private record Entry(long version, StoreRecord record) {}
+
+    private final Map<Topic, List<Entry>> history = new EnumMap<>(Topic.class);
+    private final List<FleetMember> members = new ArrayList<>();
+    private final Sinks.Empty<Void> closed = Sinks.empty();
+    private long version;
+
+    MemoryStore() {
+        for (Topic t : Topic.values()) {
+            history.put(t, new ArrayList<>());
+        }
+    }
+
+    synchronized void write(Topic topic, StoreRecord... records) {
+        version++;
+        for (StoreRecord r : records) {
+            history.get(topic).add(new Entry(version, r));
+        }
+    }
+
+    private synchronized Reading after(Topic topic, long from) {
+        List<StoreRecord> records = history.get(topic).stream()
+                .filter(e -> e.version() > from)
+                .map(Entry::record)
+                .toList();
+        return new Reading(records, version, records.isEmpty() ? 0 : version);
+    }
+
+    @Override
+    public Mono<Reading> list(Topic topic) {
+        return Mono.fromSupplier(() -> after(topic, 0));
+    }
+
+    @Override
+    public Mono<Reading> changes(Topic topic, long from, Duration wait) {
+        return Mono.fromSupplier(() -> after(topic, from))
+                .delayElement(POLL)
+                .repeat()
+                .takeUntilOther(closed.asMono())
+                .filter(r -> !r.records().isEmpty())
+                .next()
+                .timeout(wait, Mono.fromSupplier(() -> after(topic, from)));
+    }
+
+    @Override
+    public synchronized Mono<List<FleetMember>> members() {
+        return Mono.just(List.copyOf(members));
+    }
+
+    @Override
+    public synchronized Mono<Void> announce(FleetMember member) {
+        members.add(member);
+        return Mono.empty();
+    }
+
+    @Override
+    public synchronized Mono<Void> withdraw(VmName vm) {
+        members.removeIf(m -> m.vm().equals(vm));
+        return Mono.empty();
+    }
+
+    @Override
+    public void close() {
+        closed.tryEmitEmpty();
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/PlainDialect.java
@@ -0,0 +1,96 @@
+package org.lycheetray.edge;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.placement.ReportedLoad;
+import org.lycheetray.edge.dialect.BackendDialect;
+import org.lycheetray.edge.dialect.CallerDialect;
+import org.lycheetray.edge.dialect.LookupDialect;
+
+/** Short headers for tests. */
+final class PlainDialect implements CallerDialect, BackendDialect, LookupDialect {
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("X-Id"));
+    }
+
+    @Override
+    public Optional<Duration> patience(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("X-Patience")).map(s -> Duration.ofMillis(Long.parseLong(s)));
+    }
+
+    @Override
+    public Optional<String> key(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("X-Secret"));
+    }
+
+    @Override
+    public Optional<String> object(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("X-Object"));
+    }
+
+    @Override
+    public void answerTo(HttpHeaders headers, String requestId) {
+        headers.set("X-Id", requestId);
+    }
+
+    @Override
+    public void instruct(HttpHeaders headers, Instructions instructions) {
+        headers.remove("X-Secret");
+        headers.remove("X-Account");
+        instructions.account().ifPresent(a -> headers.set("X-Account", a.value()));
+        headers.set("X-Server", instructions.server().value());
+        headers.set("X-Patience", Long.toString(instructions.left().toMillis()));
+    }
+
+    @Override
+    public Optional<String> answersTo(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("X-Id"));
+    }
+
+    @Override
+    public boolean isNotRun(int status, HttpHeaders headers) {
+        return headers.contains("X-Not-Run");
+    }
+
+    @Override
+    public boolean isMisdirected(int status) {
+        return status == 421;
+    }
+
+    @Override
+    public boolean isSigned(HttpHeaders headers) {
+        return headers.contains("X-Signed");
+    }
+
+    @Override
+    public Optional<ReportedLoad> load(HttpHeaders headers) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Question> question(String uri) {
+        return uri.startsWith("/lookup")
+                ? Optional.of(new Question("", Optional.<RegionName>empty()))
+                : Optional.empty();
+    }
+
+    @Override
+    public byte[] answer(List<Endpoint> vms, Duration ttl) {
+        return vms.stream()
+                .map(Endpoint::toString)
+                .collect(Collectors.joining(","))
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public boolean isReadiness(String uri) {
+        return uri.equals("/ready");
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/StandinServer.java
@@ -0,0 +1,121 @@
+package org.lycheetray.edge;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+
+/** A backend server whose answers tests script byte by byte. */
+final class StandinServer implements AutoCloseable {
+    /** What a request does; {@code out} and the socket may be used freely. */
+    @FunctionalInterface
+    interface Script {
+        void answer(Request request, OutputStream out, Socket socket) throws IOException;
+    }
+
+    /** A request as it arrived. */
+    record Request(String head, String body) {
+        String header(String name) {
+            return head.lines()
+                    .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":"))
+                    .map(l -> l.substring(name.length() + 1).strip())
+                    .findFirst()
+                    .orElse("");
+        }
+    }
+
+    private final ServerSocket listener;
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final CountDownLatch callerLeft = new CountDownLatch(1);
+    private volatile Script script;
+
+    StandinServer(Script script) throws IOException {
+        this.script = script;
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    List<Request> requests() {
+        return requests;
+    }
+
+    CountDownLatch callerLeft() {
+        return callerLeft;
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    /** A signed answer to a request. */
+    static Script signed(String body) {
+        return (r, out, s) -> write(out, signedAnswer(r.header("X-Id"), body));
+    }
+
+    static String signedAnswer(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signed: yes\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
+    }
+
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket s = listener.accept();
+                Thread.ofVirtual().start(() -> serve(s));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket;
+                InputStream in = new BufferedInputStream(socket.getInputStream())) {
+            for (Request r = read(in); r != null; r = read(in)) {
+                requests.add(r);
+                script.answer(r, socket.getOutputStream(), socket);
+            }
+            callerLeft.countDown();
+        } catch (IOException e) {
+            callerLeft.countDown();
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                return null;
+            }
+            head.write(b);
+        }
+        Request r = new Request(head.toString(StandardCharsets.ISO_8859_1), "");
+        String length = r.header("Content-Length");
+        byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        return new Request(r.head(), new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
