--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -38,6 +38,9 @@
     /** Time after the end of a request's time in which an answer that is on its way may still arrive. */
     private static final Duration END_SLACK = Duration.ofMillis(40);
 
+    /** Time that an answer may need to reach its caller: it is of no use after the caller has given up. */
+    private static final Duration RETURN_TIME = Duration.ofMillis(50);
+
     /** Retry-After of a VM without configuration: it learns one within moments of its start. */
     private static final Duration CONFIG_RETRY = Duration.ofMillis(500);
 
@@ -133,13 +136,16 @@
     private void prepare(TrafficRoute r) {
         Duration patience = parts.callers().patience(request.headers()).orElse(r.timeout());
         end = request.received().plus(patience.compareTo(r.timeout()) < 0 ? patience : r.timeout());
+        MonotonicTime lastAnswer = request.received().plus(patience).plus(RETURN_TIME.negated());
         ServiceName s = parts.steering().service(r);
         service = Optional.of(s);
         parts.steering().retries().request(s, now());
         Optional<String> object = r.sticky() ? parts.callers().object(request.headers()) : Optional.empty();
         MonotonicTime target = request.received().plus(r.targetLatency());
         placement = new PlacementRequest(r, s, object, regions(r), request.received(), target, end, tried);
-        long left = Math.max(0, end.plus(END_SLACK).since(now()).toNanos());
+        MonotonicTime over = end.plus(END_SLACK);
+        long left = Math.max(
+                0, (lastAnswer.isBefore(over) ? lastAnswer : over).since(now()).toNanos());
         endTimer = parts.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -125,9 +125,11 @@
                 : store.changes(topic, version, wait).timeout(wait.plus(ANSWER_TIME));
         calls.put(
                 topic,
-                call.subscribe(
-                        r -> loop.execute(() -> read(topic, version == null, r)),
-                        e -> loop.execute(() -> failed(topic, e))));
+                call.switchIfEmpty(Mono.error(() -> new StoreException(
+                                StoreException.Kind.UNKNOWN, "read", "the call ended without an answer")))
+                        .subscribe(
+                                r -> loop.execute(() -> read(topic, version == null, r)),
+                                e -> loop.execute(() -> failed(topic, e))));
     }
 
     /**
