--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
@@ -42,7 +42,7 @@
 
     /** What is replayed; times in milliseconds. */
     record Load(
-            int[] serversPerRegion,
+            List<Integer> serversPerRegion,
             int vmsPerRegion,
             int slots,
             double workMs,
@@ -212,7 +212,7 @@
         Vm(int region, int number) {
             this.region = region;
             Map<DataCentreName, RegionName> regions = new HashMap<>();
-            for (int r = 0; r < load.serversPerRegion().length; r++) {
+            for (int r = 0; r < load.serversPerRegion().size(); r++) {
                 regions.put(dc(r), new RegionName("region-" + r));
             }
             placement = new Placement(
@@ -280,7 +280,7 @@
                 }
                 case PlacementDecision.Refuse r -> {
                     vm.waiting.remove(this);
-                    refused(r.retryAfter().toMillis());
+                    refused((double) r.retryAfter().toMillis());
                 }
             }
         }
@@ -371,13 +371,13 @@
 
     private Result play() {
         int number = 0;
-        for (int r = 0; r < load.serversPerRegion().length; r++) {
-            for (int i = 0; i < load.serversPerRegion()[r]; i++) {
+        for (int r = 0; r < load.serversPerRegion().size(); r++) {
+            for (int i = 0; i < load.serversPerRegion().get(r); i++) {
                 Server s = new Server("i-%04x".formatted(random.nextInt(1 << 16)) + number++, r);
                 servers.put(s.entry.name(), s);
             }
         }
-        for (int r = 0; r < load.serversPerRegion().length; r++) {
+        for (int r = 0; r < load.serversPerRegion().size(); r++) {
             List<Vm> list = new ArrayList<>();
             for (int i = 0; i < load.vmsPerRegion(); i++) {
                 Vm vm = new Vm(r, i);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -9,7 +10,7 @@
 /** Replays load patterns and checks what callers get; bounds are what the operators ask for, not what was measured. */
 class PlacementLoadTest {
     private static final int SEEDS = 6;
-    private static final int[] UNEVEN = {6, 2, 4};
+    private static final List<Integer> UNEVEN = List.of(6, 2, 4);
 
     private static FleetSimulation.Load reads(double factor, double burst) {
         return new FleetSimulation.Load(
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -251,8 +251,8 @@
     void requestWithTwoLengthsIsRejected() throws Exception {
         serve(first);
 
-        EdgeFixture.Reply r = edge.ask("POST /order/1 HTTP/1.1\r\nHost: host\r\nX-Id: q1\r\n"
-                + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        String head = EdgeFixture.post("/order/1", "q1", "").replace("Content-Length: 0", "Content-Length: 4");
+        EdgeFixture.Reply r = edge.ask(head.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
 
         assertThat(r.status()).isEqualTo(400);
         assertThat(first.requests()).isEmpty();
