Edge tests start the edge on a filled store

Traced: the edge listed the store between the registrations of the first and the second server and read the second one 400 ms later, after its pause between changes; it was ready meanwhile, and truthfully refused. Only the test's order was at fault: the fixture now starts the edge after the store is filled. The check is unchanged.

--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -55,7 +55,7 @@
 
     private final MemoryStore store = new MemoryStore();
     private final EdgeSettings settings;
-    private final Edge edge;
+    private Edge edge;
     private final List<Socket> sockets = new ArrayList<>();
     private long incarnation;
 
@@ -65,7 +65,6 @@
     }
 
     EdgeFixture(Duration grace) throws IOException {
-        PlainDialect dialect = new PlainDialect();
         settings = new EdgeSettings(
                 new VmName("vm"),
                 DC,
@@ -85,7 +84,14 @@
                         1.5,
                         5,
                         0.15));
-        edge = Edge.start(settings, new EdgeAdapter(dialect, dialect, dialect, (t, a) -> store), Clock.system());
+    }
+
+    /** Starts the edge: what the store holds by then is read at once, so that tests do not depend on its pace. */
+    void start() {
+        if (edge == null) {
+            PlainDialect dialect = new PlainDialect();
+            edge = Edge.start(settings, new EdgeAdapter(dialect, dialect, dialect, (t, a) -> store), Clock.system());
+        }
     }
 
     private static Endpoint freeEndpoint() throws IOException {
@@ -146,8 +152,9 @@
                         Duration.ZERO)));
     }
 
-    /** Waits until requests are served. */
+    /** Starts the edge and waits until requests are served. */
     void awaitReady() throws IOException, InterruptedException {
+        start();
         long limit = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
         while (page(settings.readiness(), "/ready").status() != 200) {
             if (System.nanoTime() > limit) {
@@ -226,6 +233,8 @@
         for (Socket s : sockets) {
             s.close();
         }
-        edge.close();
+        if (edge != null) {
+            edge.close();
+        }
     }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -60,6 +60,7 @@
 
     @Test
     void withoutConfigurationNothingIsDenied() throws Exception {
+        edge.start();
         EdgeFixture.Reply r = edge.ask(EdgeFixture.get("/read/1", "q1", ""));
 
         assertThat(r.status()).isEqualTo(503);
