--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -152,6 +152,10 @@
                         Duration.ZERO)));
     }
 
+    void unregister(String name) {
+        store.write(Topic.SERVERS, new StoreRecord.ServerGone(new BackendServerName(name)));
+    }
+
     /** Starts the edge and waits until requests are served. */
     void awaitReady() throws IOException, InterruptedException {
         start();
@@ -164,6 +168,17 @@
         }
     }
 
+    /** Asks until the status is as wanted: changes of the store arrive at their own pace. */
+    void awaitStatus(String path, int status) throws IOException, InterruptedException {
+        long limit = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
+        for (int i = 0; ask(get(path, "await" + status + "-" + i, "")).status() != status; i++) {
+            if (System.nanoTime() > limit) {
+                throw new IllegalStateException("no " + status + " in time");
+            }
+            Thread.sleep(10);
+        }
+    }
+
     Reply readiness() throws IOException {
         return page(settings.readiness(), "/ready");
     }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -248,6 +248,34 @@
         assertThat(first.requests()).isEmpty();
     }
 
+    @Test
+    void goneServerWithSeveralIdleConnectionsDoesNotEndTheFeed() throws Exception {
+        CountDownLatch together = new CountDownLatch(3);
+        first.script((r, out, s) -> {
+            together.countDown();
+            await(together);
+            StandinServer.signed("first").answer(r, out, s);
+        });
+        serve(first);
+        Socket[] callers = new Socket[3];
+        for (int i = 0; i < callers.length; i++) {
+            callers[i] = edge.caller();
+            EdgeFixture.send(callers[i], EdgeFixture.get("/read/1", "q" + i, ""));
+        }
+        for (Socket c : callers) {
+            assertThat(EdgeFixture.read(new BufferedInputStream(c.getInputStream()))
+                            .status())
+                    .isEqualTo(200);
+        }
+
+        edge.unregister("s-0");
+        edge.awaitStatus("/read/1", 503);
+        edge.register("s-1", second, false);
+        edge.awaitStatus("/read/1", 200);
+
+        assertThat(edge.ask(EdgeFixture.get("/read/1", "last", "")).body()).isEqualTo("second");
+    }
+
     @Test
     void requestWithTwoLengthsIsRejected() throws Exception {
         serve(first);
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
@@ -0,0 +1,175 @@
+package org.lycheetray.edge.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.allowance.RetryAllowance;
+import org.lycheetray.core.fleet.FleetMember;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.quota.QuotaTolerance;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.edge.exchange.Steering;
+import org.lycheetray.edge.settings.EdgeSettings;
+import reactor.core.publisher.Mono;
+
+/** Each feed call but the first listing stays without an answer, as when the store falls silent. */
+class StoreFollowerTest {
+    private static final Duration MOMENT = Duration.ofMillis(100);
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final AtomicInteger calls = new AtomicInteger();
+    private final AtomicInteger ended = new AtomicInteger();
+    private final SteppedClock clock = new SteppedClock();
+    private final StoreFollower follower =
+            new StoreFollower(new SilentStore(), new Steering(settings(), clock, random()), loop, clock, random());
+
+    @AfterEach
+    void stop() {
+        onLoop(follower::stop);
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    void silentCallIsReplacedWhenAnotherVmStaysAhead() {
+        begin();
+
+        for (int i = 0; i < 7; i++) {
+            tellOthersKnow(8);
+        }
+
+        assertThat(calls).hasValue(2);
+        assertThat(ended).hasValue(1);
+    }
+
+    @Test
+    void shortLeadOfAnotherVmEndsNoCall() {
+        begin();
+
+        for (int i = 0; i < 4; i++) {
+            tellOthersKnow(8);
+        }
+
+        assertThat(calls).hasValue(1);
+        assertThat(ended).hasValue(0);
+    }
+
+    @Test
+    void vmThatIsNotBehindKeepsItsCall() {
+        begin();
+
+        for (int i = 0; i < 40; i++) {
+            tellOthersKnow(SilentStore.VERSION);
+        }
+
+        assertThat(calls).hasValue(1);
+    }
+
+    private void begin() {
+        onLoop(() -> follower.start(() -> {}));
+        while (calls.get() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private void tellOthersKnow(long version) {
+        clock.now = clock.now.plus(MOMENT);
+        onLoop(() -> follower.othersKnow(Topic.OPERATOR, version, SilentStore.VERSION));
+    }
+
+    private void onLoop(Runnable task) {
+        loop.submit(task).syncUninterruptibly();
+    }
+
+    private static SplittableRandom random() {
+        return new SplittableRandom(1);
+    }
+
+    private static EdgeSettings settings() {
+        DataCentreName dc = new DataCentreName("dc");
+        Endpoint nowhere = new Endpoint("127.0.0.1", 1);
+        return new EdgeSettings(
+                new VmName("vm"),
+                dc,
+                Map.of(dc, new RegionName("region")),
+                nowhere,
+                nowhere,
+                nowhere,
+                nowhere,
+                Optional.empty(),
+                nowhere,
+                430,
+                new EdgeSettings.Bounds(
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(5),
+                        new RetryAllowance.RetryLimits(0.2, 50, Duration.ofSeconds(10)),
+                        new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20),
+                        1.5,
+                        5,
+                        0.15));
+    }
+
+    private static final class SteppedClock implements Clock {
+        private volatile MonotonicTime now = new MonotonicTime(0);
+
+        @Override
+        public MonotonicTime monotonic() {
+            return now;
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.EPOCH;
+        }
+    }
+
+    /** Counts the operators' feed calls and those that were ended. */
+    private final class SilentStore implements FleetStore {
+        static final long VERSION = 5;
+
+        @Override
+        public Mono<Reading> list(Topic topic) {
+            return Mono.just(new Reading(List.of(), VERSION, 0));
+        }
+
+        @Override
+        public Mono<Reading> changes(Topic topic, long from, Duration wait) {
+            if (topic != Topic.OPERATOR) {
+                return Mono.never();
+            }
+            calls.incrementAndGet();
+            return Mono.<Reading>never().doOnCancel(ended::incrementAndGet);
+        }
+
+        @Override
+        public Mono<List<FleetMember>> members() {
+            return Mono.just(List.of());
+        }
+
+        @Override
+        public Mono<Void> announce(FleetMember member) {
+            return Mono.empty();
+        }
+
+        @Override
+        public Mono<Void> withdraw(VmName vm) {
+            return Mono.empty();
+        }
+
+        @Override
+        public void close() {}
+    }
+}
