Objects that other VMs know count as likely known; overdue repeatable requests get a second attempt

Two changes of one decision's record, tested together.

Cause 1 (grown deployments, 90 VMs): each VM believed only its own sends, so almost every server counted as not knowing an object, the learnt time of unknown objects sank to that of known ones and nothing kept objects together. Now the first-ranked server of the planned region counts as likely to know, with a learnt time of its own. Rank is found in one pass instead of one per pair of servers.

Ruled out: giving the first attempt up (breaks off work that may still end); a shorter limit (objects that a server forgot take three times as long as known ones and would be run twice).

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -18,6 +18,7 @@
 import org.lycheetray.core.model.ServiceName;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.placement.internal.Candidate;
+import org.lycheetray.core.placement.internal.FirstRanked;
 import org.lycheetray.core.placement.internal.ServerState;
 import org.lycheetray.core.placement.internal.WorkTimes;
 import org.lycheetray.core.registry.RegisteredServer;
@@ -257,7 +258,7 @@
         }
         MonotonicTime done = now.plus(Duration.ofNanos((long) (best.queueing() + best.work())));
         if (best.queueing() <= 0 || !request.target().isBefore(done)) {
-            return new PlacementDecision.Send(best.state().server(), best.describe(now));
+            return best.send(now);
         }
         return hold(request, best, now);
     }
@@ -301,13 +302,13 @@
         List<Candidate> result = new ArrayList<>(considered.size());
         WorkTimes times = times(request.route());
         Set<RegionName> open = openRegions(considered, now);
-        RegionName planned = plannedRegion(request, allowed);
+        Ranking ranking = ranking(request, allowed, considered);
         for (ServerState s : considered) {
             if (!open.contains(s.region())) {
                 continue;
             }
             if (!(s.isCold(now) || s.isSuspect(now)) || hasColdToken(s, now)) {
-                result.add(candidate(request, s, times, considered, planned, now));
+                result.add(candidate(request, s, times, ranking, now));
             }
         }
         return result;
@@ -356,30 +357,55 @@
         return rank;
     }
 
+    /**
+     * What all VMs of a region agree on about one request.
+     *
+     * @param object key of its object; empty if it has none
+     * @param planned region whose servers should know the object
+     * @param first server of each region that should know it
+     */
+    private record Ranking(Optional<String> object, RegionName planned, FirstRanked first) {
+        boolean isFirst(ServerState s) {
+            return object.isPresent() && first.contains(s);
+        }
+
+        Familiarity familiarity(ServerState s) {
+            if (object.isEmpty()) {
+                return Familiarity.UNKNOWN;
+            }
+            if (s.isWarm(object.get())) {
+                return Familiarity.KNOWN;
+            }
+            return first.contains(s) && s.region().equals(planned) ? Familiarity.LIKELY : Familiarity.UNKNOWN;
+        }
+    }
+
+    private Ranking ranking(PlacementRequest request, List<ServerState> allowed, List<ServerState> considered) {
+        Optional<String> object = request.object().map(o -> objectKey(request));
+        return new Ranking(
+                object,
+                plannedRegion(request, allowed),
+                new FirstRanked(object.orElse(""), object.isPresent() ? considered : List.of()));
+    }
+
     private Candidate candidate(
-            PlacementRequest request,
-            ServerState s,
-            WorkTimes times,
-            List<ServerState> considered,
-            RegionName planned,
-            MonotonicTime now) {
+            PlacementRequest request, ServerState s, WorkTimes times, Ranking ranking, MonotonicTime now) {
         double slow = s.slowness(now);
         double load = s.load(now);
         int slots = s.server().slots();
-        double warmWork = times.nanos(true) * slow;
-        double coldWork = times.nanos(false) * slow;
-        boolean warm = request.object().isPresent() && s.isWarm(objectKey(request));
-        double work = warm ? warmWork : coldWork;
+        Familiarity f = ranking.familiarity(s);
+        double knownWork = times.nanos(Familiarity.KNOWN) * slow;
+        double unknownWork = times.nanos(Familiarity.UNKNOWN) * slow;
+        double work = times.nanos(f) * slow;
         double cost = work;
-        if (request.object().isPresent() && !warm) {
-            int rank = rank(objectKey(request), s, considered);
-            cost = warmWork + unknownCost(s, rank, planned) * (coldWork - warmWork);
+        if (ranking.object().isPresent() && f != Familiarity.KNOWN) {
+            cost = knownWork + unknownCost(s, ranking) * (unknownWork - knownWork);
         }
-        double usual = usualWork.getOrDefault(request.service(), warmWork);
+        double usual = usualWork.getOrDefault(request.service(), knownWork);
         double wait = Math.max(0, load + 1 - slots) * usual * slow / slots;
-        cost += wait + load / slots * TIE_BREAK * warmWork + distance(request.route(), s, planned);
+        cost += wait + load / slots * TIE_BREAK * knownWork + distance(request.route(), s, ranking.planned());
         cost *= 1 + random.nextDouble() * JITTER;
-        return new Candidate(s, cost, wait, work, warm);
+        return new Candidate(s, cost, wait, work, unknownWork, f);
     }
 
     private double distance(TrafficRoute route, ServerState s, RegionName planned) {
@@ -407,25 +433,11 @@
 
     private record ShareKey(ServiceName service, Map<RegionName, Integer> slots) {}
 
-    private static double unknownCost(ServerState s, int rank, RegionName planned) {
-        if (rank > 0) {
+    private static double unknownCost(ServerState s, Ranking ranking) {
+        if (!ranking.isFirst(s)) {
             return UNKNOWN_COST;
         }
-        return s.region().equals(planned) ? 0 : UNKNOWN_COST_FIRST_ELSEWHERE;
-    }
-
-    /** Position of a server among those of its region for an object; the same on every VM that sees the same servers. */
-    private static int rank(String object, ServerState s, List<ServerState> considered) {
-        long own = RendezvousHash.score(object, s.server().name().value()) >>> 1;
-        int rank = 0;
-        for (ServerState o : considered) {
-            if (o != s
-                    && o.region().equals(s.region())
-                    && RendezvousHash.score(object, o.server().name().value()) >>> 1 > own) {
-                rank++;
-            }
-        }
-        return rank;
+        return s.region().equals(ranking.planned()) ? 0 : UNKNOWN_COST_FIRST_ELSEWHERE;
     }
 
     private static String objectKey(PlacementRequest request) {
@@ -444,55 +456,53 @@
      * Counts a request that is sent.
      *
      * @param request the request
-     * @param name the server it goes to
+     * @param send the decision to send it
      * @param now present time
-     * @return true if the server was taken to know the request's object
      */
-    public boolean started(PlacementRequest request, BackendServerName name, MonotonicTime now) {
-        ServerState s = servers.get(name);
+    public void started(PlacementRequest request, PlacementDecision.Send send, MonotonicTime now) {
+        ServerState s = servers.get(send.name());
         if (s == null) {
-            return false;
+            return;
         }
         s.started();
         moves.sent(s.region(), now);
         if (s.isCold(now) || s.isSuspect(now)) {
             s.coldAllowance().take();
         }
-        boolean warm = request.object().isPresent() && s.isWarm(objectKey(request));
-        double expected = times(request.route()).nanos(warm);
+        double expected = times(request.route()).nanos(send.familiarity());
         usualWork.merge(request.service(), expected, (a, b) -> a + USUAL_SAMPLE * (b - a));
-        if (request.object().isEmpty()) {
-            return false;
+        if (request.object().isPresent()) {
+            s.handled(objectKey(request));
         }
-        s.handled(objectKey(request));
-        return warm;
     }
 
     /**
      * Counts the end of an attempt.
      *
      * @param request the request
-     * @param server the life of the server that it was sent to
-     * @param warm what {@link #started} returned
+     * @param send the decision by which it was sent
      * @param end how it ended
      * @param now present time
      */
-    public void ended(
-            PlacementRequest request, RegisteredServer server, boolean warm, AttemptEnd end, MonotonicTime now) {
-        ServerState s = servers.get(server.name());
-        if (s == null || !isSameLife(s.server(), server)) {
+    public void ended(PlacementRequest request, PlacementDecision.Send send, AttemptEnd end, MonotonicTime now) {
+        ServerState s = servers.get(send.name());
+        if (s == null || !isSameLife(s.server(), send.server())) {
             return;
         }
         WorkTimes times = times(request.route());
         boolean unloaded = s.load(now) <= s.server().slots();
-        boolean telling = unloaded && (warm || request.object().isEmpty());
-        s.ended(end, telling ? Optional.of(Duration.ofNanos((long) times.nanos(warm))) : Optional.empty(), now);
+        boolean telling = unloaded
+                && (send.familiarity() == Familiarity.KNOWN || request.object().isEmpty());
+        s.ended(
+                end,
+                telling ? Optional.of(Duration.ofNanos((long) times.nanos(send.familiarity()))) : Optional.empty(),
+                now);
         if (end instanceof AttemptEnd.Broken || end instanceof AttemptEnd.Unreachable) {
             moves.lift(now);
-            suspect(server.name(), now);
+            suspect(send.name(), now);
         }
         if (end instanceof AttemptEnd.Answered a && unloaded) {
-            times.sample(warm, a.took());
+            times.sample(send.familiarity(), a.took());
         }
     }
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementDecision.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/PlacementDecision.java
@@ -11,9 +11,12 @@
      * Send it.
      *
      * @param server where to
+     * @param familiarity how well the server is taken to know the request's object
+     * @param overdueAfter time since sending after which the answer has probably been lost
      * @param reason inputs that decided, for the log
      */
-    record Send(RegisteredServer server, String reason) implements PlacementDecision {
+    record Send(RegisteredServer server, Familiarity familiarity, Duration overdueAfter, String reason)
+            implements PlacementDecision {
         /**
          * The server's name.
          *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/slots/RendezvousHash.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/slots/RendezvousHash.java
@@ -39,8 +39,28 @@
      * @return a number that looks random and is the same on every VM
      */
     public static long score(String key, String name) {
-        long h = mix(hash(FNV_OFFSET, key) ^ FNV_PRIME);
-        return mix(hash(h, name));
+        return score(seed(key), name);
+    }
+
+    /**
+     * Gives the part of a weight that depends on the key alone, for keys that are compared with many names.
+     *
+     * @param key the key
+     * @return the seed
+     */
+    public static long seed(String key) {
+        return mix(hash(FNV_OFFSET, key) ^ FNV_PRIME);
+    }
+
+    /**
+     * Gives the weight of a name for a key.
+     *
+     * @param seed the key's {@link #seed}
+     * @param name the name
+     * @return a number that looks random and is the same on every VM
+     */
+    public static long score(long seed, String name) {
+        return mix(hash(seed, name));
     }
 
     private static long hash(long seed, String s) {
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/FleetSimulation.java
@@ -234,7 +234,7 @@
         private final PlacementRequest request;
         private final Set<BackendServerName> tried = new HashSet<>();
         private Server server;
-        private boolean warm;
+        private PlacementDecision.Send send;
         private double sentMs;
         private boolean over;
 
@@ -268,7 +268,8 @@
                 case PlacementDecision.Send s -> {
                     vm.waiting.remove(this);
                     server = servers.get(s.name());
-                    warm = vm.placement.started(request, s.name(), now());
+                    send = s;
+                    vm.placement.started(request, s, now());
                     tried.add(s.name());
                     sentMs = nowMs;
                     after(travelMs(), () -> server.arrive(this));
@@ -299,8 +300,7 @@
         void ended(boolean ran, ReportedLoad l) {
             Duration took = ms(nowMs - sentMs);
             vm.placement.reported(server.entry.name(), l, now());
-            vm.placement.ended(
-                    request, server.entry, warm, ran ? new AttemptEnd.Answered(took) : new AttemptEnd.Shed(), now());
+            vm.placement.ended(request, send, ran ? new AttemptEnd.Answered(took) : new AttemptEnd.Shed(), now());
             if (!over) {
                 if (ran) {
                     over = true;
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
@@ -45,6 +45,18 @@
         assertThat(mean(reads(1, 1), r -> r.byRegion[1][0] / r.byRegion[1][1])).isGreaterThan(0.75);
     }
 
+    /** Ninety VMs of which each sees few requests for any object: what one has sent, the others must make use of. */
+    @Test
+    void largeFleetSendsObjectsWhereAnotherVmSentThem() {
+        FleetSimulation.Load load = new FleetSimulation.Load(
+                List.of(12, 54, 66), 30, 5, 880, 600, 4_000, 2_500, 195, 0.55, 209, 20, 1, 10, 13, 30, 0.15);
+
+        FleetSimulation.Result r = FleetSimulation.replay(load, 1);
+
+        assertThat(r.warmShare()).isGreaterThan(0.9);
+        assertThat(r.credit()).isGreaterThan(0.9);
+    }
+
     @Test
     void serversAreNotSentMoreThanTheyQueue() {
         assertThat(mean(reads(1.25, 1.7), r -> (double) r.shed / r.runs)).isLessThan(0.02);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementTest.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ConfigVersion;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
@@ -92,6 +91,11 @@
                 : Optional.empty();
     }
 
+    private static PlacementDecision.Send send(String server) {
+        return new PlacementDecision.Send(
+                ServerEntries.entry(server).build(), Familiarity.UNKNOWN, Duration.ofSeconds(1), "test");
+    }
+
     @Test
     void leavingServerAndEvacuatedDataCentreGetNothing() {
         servers(ServerEntries.entry("a").draining(), ServerEntries.entry("b").in("dc-b"), ServerEntries.entry("c"));
@@ -126,7 +130,7 @@
     void requestWithoutProspectsIsRefusedAtOnceWithATime() {
         servers(ServerEntries.entry("a").slots(1));
         for (int i = 0; i < 10; i++) {
-            placement.started(request(Set.of()), new BackendServerName("a"), now);
+            placement.started(request(Set.of()), send("a"), now);
         }
 
         assertThat(placement.decide(request(Set.of()), now)).isInstanceOf(PlacementDecision.Refuse.class);
@@ -136,9 +140,8 @@
     void unreachableServerIsLeftAloneForAMoment() {
         servers(ServerEntries.entry("a"), ServerEntries.entry("b"));
         String first = choice(request(Set.of())).orElseThrow();
-        RegisteredServer server = ServerEntries.entry(first).build();
-        placement.started(request(Set.of()), server.name(), now);
-        placement.ended(request(Set.of()), server, false, new AttemptEnd.Unreachable(), now);
+        placement.started(request(Set.of()), send(first), now);
+        placement.ended(request(Set.of()), send(first), new AttemptEnd.Unreachable(), now);
 
         assertThat(choice(request(Set.of()))).isPresent().isNotEqualTo(Optional.of(first));
     }
@@ -181,7 +184,7 @@
             now = new MonotonicTime(ms * 1_000_000);
             for (Placement p : fleet) {
                 if (p.decide(request(Set.of()), now) instanceof PlacementDecision.Send s) {
-                    p.started(request(Set.of()), s.name(), now);
+                    p.started(request(Set.of()), s, now);
                     sent.add(ms);
                 }
             }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -6,7 +6,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -55,6 +57,9 @@
     /** Retry-After when attempts are used up: the time in which a server that shed has room again. */
     private static final Duration LEAST_RETRY = Duration.ofMillis(150);
 
+    /** Pause until an overdue attempt is looked at again, when there was no room for a second one. */
+    private static final Duration OVERDUE_PAUSE = Duration.ofMillis(100);
+
     private final Exchanges owner;
     private final ExchangeParts parts;
     private final IncomingRequest request;
@@ -76,11 +81,14 @@
     private int sends;
     private boolean mayHaveRun;
     private Optional<AttemptResult.Answer> fallback = Optional.empty();
-    private Optional<Running> running = Optional.empty();
+    private final List<Running> running = new ArrayList<>();
 
-    /** The attempt in progress. */
-    private record Running(
-            RegisteredServer server, boolean warm, MonotonicTime since, AtomicReference<Attempt> attempt) {}
+    /** An attempt in progress. */
+    private record Running(PlacementDecision.Send send, MonotonicTime since, AtomicReference<Attempt> attempt) {
+        boolean isSent() {
+            return attempt.get() != null && attempt.get().isSent();
+        }
+    }
 
     Exchange(Exchanges owner, ExchangeParts parts, IncomingRequest request, long sequence, Consumer<Reply> responder) {
         this.owner = owner;
@@ -186,7 +194,7 @@
             }
             case PlacementDecision.Refuse r -> {
                 leaveRoom();
-                attempts.append(r.reason());
+                note(r.reason());
                 noServer(r.retryAfter());
             }
         }
@@ -210,22 +218,50 @@
     }
 
     private void send(PlacementDecision.Send s) {
-        MonotonicTime now = now();
         RegisteredServer server = s.server();
-        boolean warm = parts.steering().placement().started(placement, server.name(), now);
+        parts.steering().placement().started(placement, s, now());
         sends++;
         tried.add(server.name());
-        attempts.append(attempts.isEmpty() ? "" : "; ")
-                .append(server.name())
-                .append(' ')
-                .append(s.reason());
-        AtomicReference<Attempt> holder = new AtomicReference<>();
-        running = Optional.of(new Running(server, warm, now, holder));
+        note(server.name() + " " + s.reason());
+        Running r = new Running(s, now(), new AtomicReference<>());
+        running.add(r);
         OutgoingRequest out =
                 new OutgoingRequest(id, request.method(), request.uri(), () -> outgoingHeaders(server), request.body());
         int max = parts.steering().maxConnections(placement.service());
-        Attempt a = parts.backends().send(server, max, out, r -> ended(server, warm, now, r));
-        holder.set(a);
+        r.attempt().set(parts.backends().send(server, max, out, result -> ended(r, result)));
+        watch(r, s.overdueAfter());
+    }
+
+    /** Adds an item to the request's line in the log. */
+    private void note(String item) {
+        attempts.append(attempts.isEmpty() ? "" : "; ").append(item);
+    }
+
+    private void watch(Running r, Duration pause) {
+        if (placement.route().isRepeatable() && running.contains(r)) {
+            var _ = parts.loop().schedule(() -> overdue(r), pause.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /**
+     * Sends a request once more, beside an attempt whose answer is overdue; the first answer counts.
+     *
+     * <p>After Dean and Barroso, "The Tail at Scale": a second attempt that starts late costs little.
+     */
+    private void overdue(Running r) {
+        if (over
+                || running.size() != 1
+                || !running.contains(r)
+                || sends >= placement.route().maxAttempts()) {
+            return;
+        }
+        if (parts.steering().placement().decide(placement, now()) instanceof PlacementDecision.Send s
+                && mayTryAgain(true)) {
+            note(r.send().name() + " overdue");
+            send(s);
+        } else {
+            watch(r, OVERDUE_PAUSE);
+        }
     }
 
     private HttpHeaders outgoingHeaders(RegisteredServer server) {
@@ -241,17 +277,18 @@
         return h;
     }
 
-    private void ended(RegisteredServer server, boolean warm, MonotonicTime since, AttemptResult result) {
+    private void ended(Running r, AttemptResult result) {
         MonotonicTime now = now();
-        Duration took = now.since(since);
-        running = Optional.empty();
-        attempts.append(' ').append(took.toMillis()).append("ms ").append(describe(result));
+        Duration took = now.since(r.since());
+        running.remove(r);
+        PlacementDecision.Send send = r.send();
+        note(send.name() + " " + took.toMillis() + "ms " + describe(result));
         if (result instanceof AttemptResult.Answer a) {
             parts.servers()
                     .load(a.headers())
-                    .ifPresent(l -> parts.steering().placement().reported(server.name(), l, now));
+                    .ifPresent(l -> parts.steering().placement().reported(send.name(), l, now));
         }
-        parts.steering().placement().ended(placement, server, warm, evidence(result, took), now);
+        parts.steering().placement().ended(placement, send, evidence(result, took), now);
         owner.wakeSoon();
         if (over) {
             return;
@@ -261,11 +298,7 @@
             case AttemptResult.NotRun n -> again(n.proof() != AttemptResult.Proof.UNREACHABLE);
             case AttemptResult.Unknown u -> {
                 mayHaveRun = true;
-                if (placement.route().isRepeatable()) {
-                    again(true);
-                } else {
-                    finish(Outcome.UNKNOWN, Optional.empty());
-                }
+                retryOr(() -> noServer(LEAST_RETRY));
             }
         }
     }
@@ -316,18 +349,22 @@
     }
 
     private void retryOr(Runnable otherwise) {
-        if (placement.route().isRepeatable() && mayTryAgain(true)) {
-            place();
-        } else {
-            otherwise.run();
+        if (running.isEmpty()) {
+            if (placement.route().isRepeatable() && mayTryAgain(true)) {
+                place();
+            } else {
+                otherwise.run();
+            }
         }
     }
 
     private void again(boolean arrived) {
-        if (mayTryAgain(arrived)) {
-            place();
-        } else {
-            noServer(LEAST_RETRY);
+        if (running.isEmpty()) {
+            if (mayTryAgain(arrived)) {
+                place();
+            } else {
+                noServer(LEAST_RETRY);
+            }
         }
     }
 
@@ -342,10 +379,7 @@
             return;
         }
         leaveRoom();
-        boolean sent = running.map(
-                        r -> r.attempt().get() != null && r.attempt().get().isSent())
-                .orElse(false);
-        cancelRunning();
+        boolean sent = running.stream().anyMatch(Running::isSent);
         if (fallback.isPresent()) {
             deliver(fallback.get());
         } else if (sent || mayHaveRun) {
@@ -356,16 +390,19 @@
     }
 
     private void cancelRunning() {
-        running.ifPresent(r -> {
+        List<Running> rest = List.copyOf(running);
+        running.clear();
+        rest.forEach(r -> {
             if (r.attempt().get() != null) {
                 r.attempt().get().cancel();
             }
             Duration waited = now().since(r.since());
-            parts.steering().placement().ended(placement, r.server(), r.warm(), new AttemptEnd.GivenUp(waited), now());
-            attempts.append(' ').append(waited.toMillis()).append("ms given-up");
-            owner.wakeSoon();
+            parts.steering().placement().ended(placement, r.send(), new AttemptEnd.GivenUp(waited), now());
+            note(r.send().name() + " " + waited.toMillis() + "ms given-up");
         });
-        running = Optional.empty();
+        if (!rest.isEmpty()) {
+            owner.wakeSoon();
+        }
     }
 
     /** The caller has left: nobody waits for the reply any more. */
@@ -374,7 +411,6 @@
             return;
         }
         leaveRoom();
-        cancelRunning();
         over("caller-gone", 0);
     }
 
@@ -409,6 +445,7 @@
 
     private void over(String outcome, int status) {
         over = true;
+        cancelRunning();
         if (endTimer != null) {
             endTimer.cancel(false);
         }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -44,6 +44,11 @@
     static final ServiceName SERVICE = new ServiceName("svc");
     static final String KEY = "secret-of-acme";
     private static final DataCentreName DC = new DataCentreName("dc");
+    private static final Duration TARGET = Duration.ofSeconds(5);
+
+    /** A target after which an answer is soon overdue. */
+    private static final Duration QUICK_TARGET = Duration.ofMillis(50);
+
     private static final int TIMEOUT_MS = 20_000;
 
     /** What a caller got. */
@@ -110,8 +115,10 @@
                 new StoreRecord.Config(new TrafficConfig(
                         new ConfigVersion(version),
                         List.of(
-                                route("reads", "/read/", Repetition.REPEATABLE),
-                                route("orders", "/order/", Repetition.AT_MOST_ONCE)),
+                                route("reads", "/read/", Repetition.REPEATABLE, TARGET),
+                                route("quick-reads", "/quick/", Repetition.REPEATABLE, QUICK_TARGET),
+                                route("orders", "/order/", Repetition.AT_MOST_ONCE, TARGET),
+                                route("quick-orders", "/quick-order/", Repetition.AT_MOST_ONCE, QUICK_TARGET)),
                         List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 4)),
                         ClientLimits.INITIAL,
                         accounts.length == 0 ? Optional.empty() : Optional.of(List.of(accounts)))));
@@ -122,7 +129,7 @@
                 new ClientAccountName("acme"), Set.of(KEY), OptionalInt.empty(), perSecond, burst, Set.of());
     }
 
-    private static TrafficRoute route(String name, String prefix, Repetition repetition) {
+    private static TrafficRoute route(String name, String prefix, Repetition repetition, Duration target) {
         return new TrafficRoute(
                 name,
                 "host",
@@ -130,7 +137,7 @@
                 List.of(new WeightedService(SERVICE, 1)),
                 repetition,
                 Duration.ofSeconds(10),
-                Duration.ofSeconds(5),
+                target,
                 3,
                 1,
                 false,
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -248,6 +249,52 @@
         assertThat(first.requests()).isEmpty();
     }
 
+    @Test
+    void lostAnswerToARepeatableRequestIsMadeUpForByAnotherServer() throws Exception {
+        first.script((r, out, s) -> {});
+        serve(first, second);
+
+        for (int i = 0; i < 3; i++) {
+            assertThat(edge.ask(EdgeFixture.get("/quick/" + i, "q" + i, "")).body())
+                    .isEqualTo("second");
+        }
+    }
+
+    @Test
+    void attemptThatLosesIsGivenUp() throws Exception {
+        AtomicReference<StandinServer> loser = new AtomicReference<>();
+        first.script((r, out, s) -> {
+            if (!loser.compareAndSet(null, first)) {
+                StandinServer.signed("late").answer(r, out, s);
+            }
+        });
+        second.script((r, out, s) -> {
+            if (!loser.compareAndSet(null, second)) {
+                StandinServer.signed("late").answer(r, out, s);
+            }
+        });
+        serve(first, second);
+
+        assertThat(edge.ask(EdgeFixture.get("/quick/1", "q1", "")).body()).isEqualTo("late");
+
+        assertThat(loser.get().callerLeft().await(LIMIT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(first.requests()).hasSize(1);
+        assertThat(second.requests()).hasSize(1);
+    }
+
+    @Test
+    void overdueRequestThatMayRunOnceIsNotSentAgain() throws Exception {
+        first.script((r, out, s) -> {});
+        second.script((r, out, s) -> {});
+        serve(first, second);
+
+        String request =
+                EdgeFixture.post("/quick-order/1", "q1", "x").replace("\r\n\r\n", "\r\nX-Patience: 1500\r\n\r\n");
+
+        assertThat(edge.ask(request).status()).isEqualTo(504);
+        assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+    }
+
     @Test
     void goneServerWithSeveralIdleConnectionsDoesNotEndTheFeed() throws Exception {
         CountDownLatch together = new CountDownLatch(3);
