A VM that starts late does not pay for what others admitted before; reports keep to a pace that fits the fleet

Cause: the first total heard of a VM was taken off the account's tokens in full, so a restarted VM refused an account for as long as the fleet's whole past admissions took to refill (vmThatStartsLaterDoesNotPayForThePast failed before). The first total now lowers the bucket to no less than this VM's equal part of half a bucket, which keeps restarts in turn within the tolerance. Reports: all tell all; at 91 VMs an account near its limit made every VM report on each tick (3,600 datagrams a second to each). Pauses now grow with the fleet, reading stays at 250 to 400 a second (ReportPaceTest). Silence is looked at every 50 ms instead of per request.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/quota/FleetQuota.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/quota/FleetQuota.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.VmName;
@@ -24,6 +25,12 @@
     /** Silence after which a VM counts as cut off: several reports' worth. */
     public static final Duration SILENCE = Duration.ofMillis(1_200);
 
+    /** Pause between looks for VMs that cannot be heard: a small part of {@link #SILENCE}. */
+    private static final Duration LOOK_PERIOD = Duration.ofMillis(50);
+
+    /** Incarnation of VMs that were never heard; real ones are larger. */
+    private static final long UNHEARD = 0;
+
     /** Share of the tolerance that may be used knowingly; the rest covers admissions that are not yet told. */
     private static final double USED_TOLERANCE = 0.25;
 
@@ -34,6 +41,9 @@
     private final Map<ClientAccountName, FleetBucket> buckets = new HashMap<>();
     private final Map<VmName, PeerState> peers = new HashMap<>();
 
+    private Set<VmName> silent = Set.of();
+    private Optional<MonotonicTime> looked = Optional.empty();
+
     private record PeerState(long incarnation, MonotonicTime heard) {}
 
     /**
@@ -84,7 +94,7 @@
      */
     public void members(Set<VmName> members, MonotonicTime now) {
         peers.keySet().retainAll(members);
-        members.forEach(m -> peers.putIfAbsent(m, new PeerState(0, now)));
+        members.forEach(m -> peers.putIfAbsent(m, new PeerState(UNHEARD, now)));
         buckets.values().forEach(b -> b.retain(members));
     }
 
@@ -101,10 +111,19 @@
         if (before != null && before.incarnation() > incarnation) {
             return;
         }
-        settle(now);
-        boolean sameLife = before != null && before.incarnation() == incarnation;
         peers.put(vm, new PeerState(incarnation, now));
-        buckets.forEach((name, b) -> b.report(vm, sameLife, admitted.getOrDefault(name, 0L)));
+        noteSilent(now);
+        boolean neverHeard = before == null || before.incarnation() == UNHEARD;
+        boolean sameLife = !neverHeard && before.incarnation() == incarnation;
+        buckets.forEach((name, b) -> {
+            long total = admitted.getOrDefault(name, 0L);
+            b.settle(silent, peers.size() + 1, now);
+            if (neverHeard) {
+                b.heardFirst(vm, total, peers.size() + 1);
+            } else {
+                b.report(vm, sameLife, total);
+            }
+        });
     }
 
     /**
@@ -119,7 +138,8 @@
         if (b == null || !account.isLimited()) {
             return new QuotaDecision.Admitted();
         }
-        b.settle(silent(now), peers.size() + 1, now);
+        noteSilent(now);
+        b.settle(silent, peers.size() + 1, now);
         if (b.take()) {
             return new QuotaDecision.Admitted();
         }
@@ -174,18 +194,21 @@
         buckets.values().forEach(FleetBucket::reported);
     }
 
-    private void settle(MonotonicTime now) {
-        Set<VmName> silent = silent(now);
-        buckets.values().forEach(b -> b.settle(silent, peers.size() + 1, now));
-    }
-
-    private Set<VmName> silent(MonotonicTime now) {
-        Set<VmName> silent = new HashSet<>();
+    /** Finds the VMs that cannot be heard; looks at most once in a while, since it is asked for each request. */
+    private void noteSilent(MonotonicTime now) {
+        if (looked.isPresent() && now.since(looked.get()).compareTo(LOOK_PERIOD) < 0) {
+            return;
+        }
+        looked = Optional.of(now);
+        Set<VmName> next = new HashSet<>();
         peers.forEach((vm, p) -> {
             if (now.since(p.heard()).compareTo(SILENCE) > 0) {
-                silent.add(vm);
+                next.add(vm);
             }
         });
-        return silent;
+        if (!next.equals(silent)) {
+            buckets.values().forEach(b -> b.settle(silent, peers.size() + 1, now));
+            silent = next;
+        }
     }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/quota/internal/FleetBucket.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/quota/internal/FleetBucket.java
@@ -15,6 +15,9 @@
     /** Part of a bucket that all VMs together may admit without telling. */
     private static final double UNTOLD_SHARE = 0.08;
 
+    /** Part of a bucket that new VMs may use together before they have heard what the others have admitted since. */
+    private static final double FIRST_SHARE = 0.5;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<VmName, Long> told = new HashMap<>();
@@ -79,6 +82,20 @@
         told.put(vm, total);
     }
 
+    /**
+     * Takes the first total that was ever heard of a VM: much of it may be older than this bucket.
+     *
+     * @param vm the VM
+     * @param total requests that it admitted in its present life
+     * @param vms number of VMs, this one included
+     */
+    public void heardFirst(VmName vm, long total, int vms) {
+        reserved.remove(vm);
+        double floor = Math.min(tokens, FIRST_SHARE * capacity / vms);
+        tokens = Math.max(floor, tokens - total);
+        told.put(vm, total);
+    }
+
     /**
      * Forgets VMs that have left.
      *
--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/ReportPaceTest.java
@@ -0,0 +1,45 @@
+package org.lycheetray.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.time.MonotonicTime;
+
+class ReportPaceTest {
+    private static final long STEP_MS = 25;
+
+    private static int reportsIn10Seconds(int vms, boolean urgent) {
+        ReportPace pace = new ReportPace();
+        int sent = 0;
+        for (long ms = 0; ms < 10_000; ms += STEP_MS) {
+            MonotonicTime now = new MonotonicTime(ms * 1_000_000);
+            if (pace.isDue(vms, urgent, now)) {
+                pace.sent(now);
+                sent++;
+            }
+        }
+        return sent;
+    }
+
+    @Test
+    void smallFleetIsToldFourTimesASecond() {
+        assertThat(reportsIn10Seconds(11, false)).isEqualTo(40);
+    }
+
+    @Test
+    void urgentReportOfASmallFleetGoesOutAtOnce() {
+        assertThat(reportsIn10Seconds(8, true)).isEqualTo(400);
+    }
+
+    @Test
+    void whatAVmReadsDoesNotGrowWithTheFleet() {
+        int first = 1;
+        assertThat(90 * (reportsIn10Seconds(91, true) - first)).isLessThanOrEqualTo(4_000);
+        assertThat(299 * (reportsIn10Seconds(300, true) - first)).isLessThanOrEqualTo(4_000);
+    }
+
+    @Test
+    void reportsOfANinetyVmFleetComeWellWithinTheTimeOfSilence() {
+        assertThat(reportsIn10Seconds(91, false)).isGreaterThanOrEqualTo(25);
+    }
+}
--- a/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
@@ -141,6 +141,19 @@
                 .isEqualTo(30);
     }
 
+    /** A VM that starts late hears large totals, of which nothing was admitted since its start. */
+    @Test
+    void vmThatStartsLaterDoesNotPayForThePast() {
+        FleetQuota q = new FleetQuota(TOLERANCE);
+        MonotonicTime now = MonotonicTime.ZERO;
+        q.configure(List.of(ACCOUNT), now);
+        q.members(Set.of(vm(1), vm(2)), now);
+        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), now);
+        q.report(vm(2), 1, Map.of(ACCOUNT.name(), 2_000L), now);
+
+        assertThat(q.admit(ACCOUNT, now)).isInstanceOf(QuotaDecision.Admitted.class);
+    }
+
     @Test
     void accountWithoutRateIsNeverRefused() {
         FleetQuota q = new FleetQuota(TOLERANCE);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
+import org.lycheetray.core.fleet.ReportPace;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.time.Clock;
@@ -46,9 +47,6 @@
     /** How long callers may keep a look-up's answer: a VM that has left is named no longer than this. */
     private static final Duration LOOKUP_TTL = Duration.ofSeconds(2);
 
-    /** Pause between reports; silence is noticed after a few of them. */
-    private static final Duration REPORT_PERIOD = Duration.ofMillis(250);
-
     /** Pause between looks at what time alone changes. */
     private static final Duration TICK = Duration.ofMillis(25);
 
@@ -80,6 +78,7 @@
     private final BackendClient backends;
     private final Front front;
     private final EdgeMetrics metrics;
+    private final ReportPace pace = new ReportPace();
     private volatile EdgeSettings.Bounds bounds;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -147,7 +146,6 @@
         follower.start(this::beliefChanged);
         enrolment.start(settings);
         every(TICK, this::tick);
-        every(REPORT_PERIOD, enrolment::report);
         every(SWEEP, this::sweep);
     }
 
@@ -168,7 +166,9 @@
     private void tick() {
         steering.tick();
         exchanges.wake();
-        if (steering.quota().isReportDue()) {
+        MonotonicTime now = clock.monotonic();
+        if (pace.isDue(view.names().size() + 1, steering.quota().isReportDue(), now)) {
+            pace.sent(now);
             enrolment.report();
         }
     }
