--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
@@ -27,6 +29,9 @@
     /** Silence after which a VM is taken to be gone for good and its shares are used by the others. */
     public static final Duration FORGOTTEN = Duration.ofMinutes(1);
 
+    /** Other VMs from which on reports are passed on by region: below, telling all is cheap and quicker. */
+    private static final int DIRECT_VMS = 32;
+
     private static final class Known {
         private FleetMember member;
         private long sequence;
@@ -117,6 +122,73 @@
         return others.values().stream().map(k -> k.member).toList();
     }
 
+    /**
+     * Chooses who gets a report. In a large fleet one VM of each other region passes it on there, each time another
+     * one, so that bytes between regions do not grow with the square of the fleet and a lost relay costs few reports.
+     *
+     * @param own this VM
+     * @param sequence number of the report
+     * @param now present time
+     * @return the VMs to send it to
+     */
+    public Audience audience(FleetMember own, long sequence, MonotonicTime now) {
+        if (others.size() < DIRECT_VMS) {
+            return new Audience(members(), List.of(), false);
+        }
+        List<FleetMember> near = new ArrayList<>();
+        Map<RegionName, List<FleetMember>> elsewhere = new TreeMap<>();
+        others.values().forEach(k -> {
+            Optional<RegionName> r = region(k.member);
+            if (r.isEmpty() || r.equals(region(own))) {
+                near.add(k.member);
+            } else if (!isSilent(k, now)) {
+                elsewhere.computeIfAbsent(r.get(), n -> new ArrayList<>()).add(k.member);
+            }
+        });
+        List<FleetMember> far = new ArrayList<>();
+        int offset = own.vm().hashCode();
+        elsewhere.values().forEach(list -> {
+            list.sort(Comparator.comparing(FleetMember::vm));
+            far.add(list.get(Math.floorMod(offset + sequence, list.size())));
+        });
+        return new Audience(near, far, true);
+    }
+
+    /**
+     * The known life of a VM.
+     *
+     * @param vm the VM
+     * @param incarnation its life
+     * @return the member, empty if this life is not known
+     */
+    public Optional<FleetMember> member(VmName vm, long incarnation) {
+        return Optional.ofNullable(others.get(vm)).map(k -> k.member).filter(m -> m.incarnation() == incarnation);
+    }
+
+    /**
+     * Tells whether a VM gets this VM's reports at first hand.
+     *
+     * @param own this VM
+     * @param vm the other VM
+     * @return false if it is in another region of a large fleet
+     */
+    public boolean isNear(FleetMember own, VmName vm) {
+        Known k = others.get(vm);
+        return others.size() < DIRECT_VMS
+                || k == null
+                || region(k.member).isEmpty()
+                || region(k.member).equals(region(own));
+    }
+
+    /**
+     * Number of other VMs that are not forgotten.
+     *
+     * @return the number
+     */
+    public int size() {
+        return others.size();
+    }
+
     /**
      * Names of all other VMs that are not forgotten.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/quota/FleetQuota.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/quota/FleetQuota.java
@@ -44,7 +44,8 @@
     private Set<VmName> silent = Set.of();
     private Optional<MonotonicTime> looked = Optional.empty();
 
-    private record PeerState(long incarnation, MonotonicTime heard) {}
+    /** A VM as last heard; {@code allKnown} once no total of its present life can be older than this process. */
+    private record PeerState(long incarnation, MonotonicTime heard, boolean allKnown) {}
 
     /**
      * Creates a quota that knows no accounts.
@@ -94,7 +95,7 @@
      */
     public void members(Set<VmName> members, MonotonicTime now) {
         peers.keySet().retainAll(members);
-        members.forEach(m -> peers.putIfAbsent(m, new PeerState(UNHEARD, now)));
+        members.forEach(m -> peers.putIfAbsent(m, new PeerState(UNHEARD, now, false)));
         buckets.values().forEach(b -> b.retain(members));
     }
 
@@ -103,25 +104,35 @@
      *
      * @param vm the VM
      * @param incarnation its life
-     * @param admitted total of each account
+     * @param admitted total of each account, or of those that changed
+     * @param whole true if accounts that are left out have no total
      * @param now present time
      */
-    public void report(VmName vm, long incarnation, Map<ClientAccountName, Long> admitted, MonotonicTime now) {
+    public void report(
+            VmName vm, long incarnation, Map<ClientAccountName, Long> admitted, boolean whole, MonotonicTime now) {
         PeerState before = peers.get(vm);
         if (before != null && before.incarnation() > incarnation) {
             return;
         }
-        peers.put(vm, new PeerState(incarnation, now));
-        noteSilent(now);
         boolean neverHeard = before == null || before.incarnation() == UNHEARD;
         boolean sameLife = !neverHeard && before.incarnation() == incarnation;
+        boolean allKnown = !neverHeard && (!sameLife || before.allKnown());
+        peers.put(vm, new PeerState(incarnation, now, allKnown || whole));
+        noteSilent(now);
+        if (!sameLife) {
+            buckets.values().forEach(b -> b.startAnew(vm));
+        }
         buckets.forEach((name, b) -> {
-            long total = admitted.getOrDefault(name, 0L);
+            Long total = whole ? admitted.getOrDefault(name, 0L) : admitted.get(name);
+            if (total == null) {
+                b.heardNothingNew(vm);
+                return;
+            }
             b.settle(silent, peers.size() + 1, now);
-            if (neverHeard) {
-                b.heardFirst(vm, total, peers.size() + 1);
+            if (allKnown || b.knows(vm)) {
+                b.report(vm, total);
             } else {
-                b.report(vm, sameLife, total);
+                b.heardFirst(vm, total, peers.size() + 1);
             }
         });
     }
@@ -161,12 +172,13 @@
     /**
      * Totals of this VM, for the other VMs.
      *
+     * @param whole true for all, false for those that others may not have heard yet
      * @return requests admitted in this life, by account; accounts without any are left out
      */
-    public Map<ClientAccountName, Long> admitted() {
+    public Map<ClientAccountName, Long> admitted(boolean whole) {
         Map<ClientAccountName, Long> totals = new HashMap<>();
         buckets.forEach((name, b) -> {
-            if (b.admitted() > 0) {
+            if (b.admitted() > 0 && (whole || b.isNews())) {
                 totals.put(name, b.admitted());
             }
         });
--- a/lycheetray-core/src/main/java/org/lycheetray/core/quota/internal/FleetBucket.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/quota/internal/FleetBucket.java
@@ -18,6 +18,9 @@
     /** Part of a bucket that new VMs may use together before they have heard what the others have admitted since. */
     private static final double FIRST_SHARE = 0.5;
 
+    /** Further reports that hold a changed total: one may be lost. */
+    private static final int REPEATS = 1;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<VmName, Long> told = new HashMap<>();
@@ -28,6 +31,7 @@
     private MonotonicTime settled;
     private long admitted;
     private long reported;
+    private int news;
 
     /**
      * Creates a bucket.
@@ -72,11 +76,10 @@
      * Takes a VM's total.
      *
      * @param vm the VM
-     * @param sameLife false if the VM has started anew since its last total
      * @param total requests that it admitted in its present life
      */
-    public void report(VmName vm, boolean sameLife, long total) {
-        long before = sameLife ? told.getOrDefault(vm, 0L) : 0;
+    public void report(VmName vm, long total) {
+        long before = told.getOrDefault(vm, 0L);
         Double held = reserved.remove(vm);
         tokens -= Math.max(0, total - before - (held == null ? 0 : held));
         told.put(vm, total);
@@ -156,8 +159,46 @@
         return tokens < NEAR_EMPTY * capacity && admitted - reported >= untold;
     }
 
+    /**
+     * Tells whether the total changed since it was told often enough not to be missed.
+     *
+     * @return true if a report should hold it
+     */
+    public boolean isNews() {
+        return admitted != reported || news > 0;
+    }
+
     /** Notes that the total was told. */
     public void reported() {
+        news = admitted == reported ? Math.max(0, news - 1) : REPEATS;
         reported = admitted;
     }
+
+    /**
+     * Tells whether a total of a VM's present life is known.
+     *
+     * @param vm the VM
+     * @return true if one was told
+     */
+    public boolean knows(VmName vm) {
+        return told.containsKey(vm);
+    }
+
+    /**
+     * Forgets the total of a VM's earlier life.
+     *
+     * @param vm the VM
+     */
+    public void startAnew(VmName vm) {
+        told.remove(vm);
+    }
+
+    /**
+     * Gives up what was held back for a VM that could not be heard and has admitted nothing.
+     *
+     * @param vm the VM
+     */
+    public void heardNothingNew(VmName vm) {
+        reserved.remove(vm);
+    }
 }
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,4 +77,51 @@
         view.expire(START.plus(FleetView.FORGOTTEN.multipliedBy(2)));
         assertThat(view.names()).isEmpty();
     }
+
+    @Test
+    void smallFleetIsToldDirectly() {
+        for (int i = 0; i < 10; i++) {
+            view.heard(member("near-" + i, 1, DC_NEAR), 1, true, START);
+            view.heard(member("far-" + i, 1, DC_FAR), 1, true, START);
+        }
+
+        Audience a = view.audience(member("self", 1, DC_NEAR), 1, START);
+
+        assertThat(a.near()).hasSize(20);
+        assertThat(a.far()).isEmpty();
+        assertThat(a.passesOn()).isFalse();
+    }
+
+    @Test
+    void largeFleetIsToldThroughOneVmOfEachOtherRegionInTurn() {
+        for (int i = 0; i < 30; i++) {
+            view.heard(member("near-" + i, 1, DC_NEAR), 1, true, START);
+            view.heard(member("far-" + i, 1, DC_FAR), 1, true, START);
+        }
+
+        Set<FleetMember> relays = new HashSet<>();
+        for (int sequence = 1; sequence <= 30; sequence++) {
+            Audience a = view.audience(member("self", 1, DC_NEAR), sequence, START);
+            assertThat(a.near()).hasSize(30);
+            assertThat(a.far()).hasSize(1);
+            assertThat(a.passesOn()).isTrue();
+            relays.addAll(a.far());
+        }
+        assertThat(relays).hasSize(30);
+    }
+
+    @Test
+    void silentVmPassesNothingOn() {
+        for (int i = 0; i < 40; i++) {
+            view.heard(member("far-" + i, 1, DC_FAR), 1, true, START);
+        }
+        MonotonicTime later = START.plus(FleetView.SILENCE.multipliedBy(2));
+        view.heard(member("far-7", 1, DC_FAR), 2, true, later);
+
+        for (int sequence = 1; sequence <= 3; sequence++) {
+            assertThat(view.audience(member("self", 1, DC_NEAR), sequence, later)
+                            .far())
+                    .containsExactly(member("far-7", 1, DC_FAR));
+        }
+    }
 }
--- a/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
@@ -23,15 +23,23 @@
     private static final double BOUND = (PER_S * 5 + BURST) * 1.1 + 20;
     private static final AccountPolicy ACCOUNT = account(PER_S, BURST);
     private static final long STEP_MS = 10;
+    private static final int WHOLE_EVERY = 9;
 
     /** VMs that tell each other every 250 ms and when a report is due. */
     private static final class Fleet {
         private final List<FleetQuota> vms = new ArrayList<>();
         private final Set<Integer> cutOff = new HashSet<>();
         private final List<Long> admittedAt = new ArrayList<>();
+        private final boolean partial;
+        private int told;
         private long nowMs;
 
         Fleet(int size) {
+            this(size, false);
+        }
+
+        Fleet(int size, boolean partial) {
+            this.partial = partial;
             for (int i = 0; i < size; i++) {
                 FleetQuota q = new FleetQuota(TOLERANCE);
                 q.configure(List.of(ACCOUNT), now());
@@ -75,11 +83,12 @@
         }
 
         private void tell(int from) {
-            Map<ClientAccountName, Long> totals = vms.get(from).admitted();
+            boolean whole = !partial || told++ % WHOLE_EVERY == 0;
+            Map<ClientAccountName, Long> totals = vms.get(from).admitted(whole);
             vms.get(from).reported();
             for (int to = 0; to < vms.size(); to++) {
                 if (to != from && !cutOff.contains(from) && !cutOff.contains(to)) {
-                    vms.get(to).report(vm(from), 1, totals, now());
+                    vms.get(to).report(vm(from), 1, totals, whole, now());
                 }
             }
         }
@@ -112,6 +121,37 @@
         assertThat(fleet.worstWindow()).isLessThanOrEqualTo((long) BOUND);
     }
 
+    @Test
+    void partialReportsKeepTheBoundToo() {
+        Fleet fleet = new Fleet(8, true);
+        fleet.run(5_000, 0);
+
+        fleet.run(12_000, PER_S * 10 / 8);
+
+        assertThat(fleet.worstWindow()).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    void partialReportsDoNotRefuseLoadWithinTheRate() {
+        Fleet fleet = new Fleet(8, true);
+        fleet.run(3_000, 0);
+
+        assertThat(fleet.run(10_000, PER_S * 0.9 / 8)).isZero();
+    }
+
+    /** The first totals that are heard are partial ones of a VM that has served for long. */
+    @Test
+    void partialTotalsFromBeforeTheStartAreNotPaidFor() {
+        FleetQuota q = new FleetQuota(TOLERANCE);
+        MonotonicTime now = MonotonicTime.ZERO;
+        q.configure(List.of(ACCOUNT), now);
+        q.members(Set.of(vm(1)), now);
+        q.report(vm(1), 1, Map.of(), false, now);
+        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), false, now);
+
+        assertThat(q.admit(ACCOUNT, now)).isInstanceOf(QuotaDecision.Admitted.class);
+    }
+
     @Test
     void partsOfADividedFleetTogetherStayWithinTheBound() {
         Fleet fleet = new Fleet(8);
@@ -130,10 +170,10 @@
         MonotonicTime now = MonotonicTime.ZERO;
         q.configure(List.of(ACCOUNT), now);
         q.members(Set.of(vm(1)), now);
-        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), now);
+        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), true, now);
         MonotonicTime later = now.plus(Duration.ofMinutes(1));
 
-        q.report(vm(1), 2, Map.of(ACCOUNT.name(), 10L), later);
+        q.report(vm(1), 2, Map.of(ACCOUNT.name(), 10L), true, later);
 
         assertThat(IntStream.range(0, 30)
                         .filter(i -> q.admit(ACCOUNT, later) instanceof QuotaDecision.Admitted)
@@ -148,8 +188,8 @@
         MonotonicTime now = MonotonicTime.ZERO;
         q.configure(List.of(ACCOUNT), now);
         q.members(Set.of(vm(1), vm(2)), now);
-        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), now);
-        q.report(vm(2), 1, Map.of(ACCOUNT.name(), 2_000L), now);
+        q.report(vm(1), 1, Map.of(ACCOUNT.name(), 1_000L), true, now);
+        q.report(vm(2), 1, Map.of(ACCOUNT.name(), 2_000L), true, now);
 
         assertThat(q.admit(ACCOUNT, now)).isInstanceOf(QuotaDecision.Admitted.class);
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -142,7 +142,7 @@
         metrics.gauge("lycheetray_requests_in_progress", exchanges::inProgress);
         metrics.gauge("lycheetray_requests_waiting", exchanges::waiting);
         metrics.gauge("lycheetray_config_version", () -> steering.version().number());
-        metrics.gauge("lycheetray_vms", () -> view.names().size() + 1);
+        metrics.gauge("lycheetray_vms", () -> view.size() + 1);
         follower.start(this::beliefChanged);
         enrolment.start(settings);
         every(TICK, this::tick);
@@ -167,7 +167,7 @@
         steering.tick();
         exchanges.wake();
         MonotonicTime now = clock.monotonic();
-        if (pace.isDue(view.names().size() + 1, steering.quota().isReportDue(), now)) {
+        if (pace.isDue(view.size() + 1, steering.quota().isReportDue(), now)) {
             pace.sent(now);
             enrolment.report();
         }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Enrolment.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Enrolment.java
@@ -133,9 +133,9 @@
 
     /** Forgets VMs that have left. */
     public void expire() {
-        int before = view.names().size();
+        int before = view.size();
         view.expire(clock.monotonic());
-        if (view.names().size() != before) {
+        if (view.size() != before) {
             reports.ifPresent(Reports::membersChanged);
         }
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/Reports.java
@@ -9,9 +9,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.lycheetray.core.fleet.Audience;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
 import org.lycheetray.core.model.ClientAccountName;
@@ -35,6 +38,9 @@
  * <p>Datagrams have no connection that could go silent; a lost one is made up for by the next. For the event loop.
  */
 public final class Reports implements AutoCloseable {
+    /** Reports of a large fleet of which one leaves nothing out: a lost total is made up for within a few seconds. */
+    private static final int WHOLE_EVERY = 8;
+
     private final FleetMember self;
     private final FleetView view;
     private final Steering steering;
@@ -42,6 +48,8 @@
     private final BooleanSupplier serving;
     private final Clock clock;
     private final Channel socket;
+    private final Map<String, VmReport> relayed = new LinkedHashMap<>();
+    private boolean wholeDue;
     private long sequence;
 
     /**
@@ -97,33 +105,48 @@
         }
     }
 
-    /** Tells all other VMs. */
+    /** Tells the other VMs, and passes on within the region what was heard from others. */
     public void send() {
-        List<FleetMember> members = view.members();
+        Audience audience = view.audience(self, ++sequence, clock.monotonic());
+        boolean whole = !audience.passesOn() || wholeDue || sequence % WHOLE_EVERY == 0;
+        wholeDue = false;
+        VmReport own = report(whole);
         steering.quota().reported();
+        write(audience.far(), own);
+        if (audience.passesOn()) {
+            own.setRelayed(List.copyOf(relayed.values()));
+        }
+        relayed.clear();
+        write(audience.near(), own);
+        socket.flush();
+    }
+
+    private void write(List<FleetMember> members, VmReport r) {
         if (members.isEmpty()) {
             return;
         }
-        ByteBuf bytes = Unpooled.wrappedBuffer(MessageCodec.encode(report()));
+        ByteBuf bytes = Unpooled.wrappedBuffer(MessageCodec.encode(r));
         for (FleetMember m : members) {
             InetSocketAddress to =
                     new InetSocketAddress(m.reports().host(), m.reports().port());
             var _ = socket.write(new DatagramPacket(bytes.retainedDuplicate(), to));
         }
-        socket.flush();
         bytes.release();
     }
 
-    private VmReport report() {
+    private VmReport report(boolean whole) {
         List<AccountTotal> totals = new ArrayList<>();
-        steering.quota().admitted().forEach((name, n) -> totals.add(new AccountTotal(name.value(), n)));
+        steering.quota().admitted(whole).forEach((name, n) -> totals.add(new AccountTotal(name.value(), n)));
         VmReport r = new VmReport();
         r.setVm(self.vm().value());
         r.setIncarnation(self.incarnation());
-        r.setSequence(++sequence);
-        r.setDataCentre(self.dataCentre().value());
-        r.setCallers(self.callers().toString());
-        r.setReports(self.reports().toString());
+        r.setSequence(sequence);
+        r.setWhole(whole);
+        if (whole) {
+            r.setDataCentre(self.dataCentre().value());
+            r.setCallers(self.callers().toString());
+            r.setReports(self.reports().toString());
+        }
         r.setServing(serving.getAsBoolean());
         r.setAdmitted(totals);
         r.setConfigVersion(steering.version().number());
@@ -135,39 +158,63 @@
         byte[] bytes = new byte[p.content().readableBytes()];
         p.content().readBytes(bytes);
         MessageCodec.decodeAlone(bytes, new VmReport())
-                .peek(this::take)
+                .peek(this::takeAll)
                 .peekLeft(e -> LogEvent.of("report-unreadable")
                         .with("from", p.sender())
                         .with("cause", e)
                         .debug());
     }
 
-    private void take(VmReport r) {
+    private void takeAll(VmReport r) {
+        int before = view.size();
+        if (r.isSetRelayed()) {
+            r.getRelayed().forEach(this::take);
+            r.unsetRelayed();
+        }
+        if (take(r) && !view.isNear(self, new VmName(r.getVm()))) {
+            relayed.put(r.getVm(), r);
+        }
+        if (view.size() != before) {
+            membersChanged();
+        }
+    }
+
+    /** Takes one VM's report; returns true if it was news. */
+    private boolean take(VmReport r) {
         MonotonicTime now = clock.monotonic();
-        FleetMember member;
-        Map<ClientAccountName, Long> totals = new HashMap<>();
         try {
-            member = new FleetMember(
-                    new VmName(r.getVm()),
-                    r.getIncarnation(),
-                    new DataCentreName(r.getDataCentre()),
-                    Endpoint.parse(r.getCallers()),
-                    Endpoint.parse(r.getReports()));
+            VmName vm = new VmName(r.getVm());
+            if (vm.equals(self.vm())) {
+                return false;
+            }
+            Optional<FleetMember> known = view.member(vm, r.getIncarnation());
+            if (known.isEmpty()) {
+                wholeDue = true;
+            }
+            Optional<FleetMember> member = r.isWhole() ? Optional.of(member(vm, r)) : known;
+            if (member.isEmpty() || !view.heard(member.get(), r.getSequence(), r.isServing(), now)) {
+                return false;
+            }
+            Map<ClientAccountName, Long> totals = new HashMap<>();
             r.getAdmitted().forEach(t -> totals.put(new ClientAccountName(t.getAccount()), t.getAdmitted()));
+            steering.quota().report(vm, r.getIncarnation(), totals, r.isWhole(), now);
         } catch (IllegalArgumentException | NullPointerException e) {
             LogEvent.of("report-unreadable").with("cause", e).debug();
-            return;
-        }
-        int before = view.names().size();
-        if (view.heard(member, r.getSequence(), r.isServing(), now)) {
-            steering.quota().report(member.vm(), member.incarnation(), totals, now);
-            follower.othersKnow(
-                    Topic.OPERATOR, r.getConfigVersion(), steering.version().number());
-            follower.othersKnow(Topic.SERVERS, r.getServersVersion(), follower.position(Topic.SERVERS));
-        }
-        if (view.names().size() != before) {
-            membersChanged();
+            return false;
         }
+        follower.othersKnow(
+                Topic.OPERATOR, r.getConfigVersion(), steering.version().number());
+        follower.othersKnow(Topic.SERVERS, r.getServersVersion(), follower.position(Topic.SERVERS));
+        return true;
+    }
+
+    private static FleetMember member(VmName vm, VmReport r) {
+        return new FleetMember(
+                vm,
+                r.getIncarnation(),
+                new DataCentreName(r.getDataCentre()),
+                Endpoint.parse(r.getCallers()),
+                Endpoint.parse(r.getReports()));
     }
 
     /** Tells the decisions how many VMs share the fleet's limits. */
@@ -175,7 +222,7 @@
         Map<VmName, DataCentreName> others = new HashMap<>();
         view.members().forEach(m -> others.put(m.vm(), m.dataCentre()));
         steering.vms(others);
-        LogEvent.of("members-changed").with("vms", view.names().size() + 1).info();
+        LogEvent.of("members-changed").with("vms", view.size() + 1).info();
     }
 
     @Override
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import org.lycheetray.core.allowance.RetryAllowance;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
@@ -25,7 +24,6 @@
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.ServiceName;
 import org.lycheetray.core.model.VmName;
-import org.lycheetray.core.quota.QuotaTolerance;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.traffic.AccountPolicy;
@@ -81,14 +79,7 @@
                 Optional.empty(),
                 new Endpoint("127.0.0.1", 1),
                 430,
-                new EdgeSettings.Bounds(
-                        grace,
-                        Duration.ofSeconds(5),
-                        new RetryAllowance.RetryLimits(0.2, 50, Duration.ofSeconds(10)),
-                        new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20),
-                        1.5,
-                        5,
-                        0.15));
+                EdgeSettingsFixture.bounds(grace));
     }
 
     /** Starts the edge: what the store holds by then is read at once, so that tests do not depend on its pace. */
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeSettingsFixture.java
@@ -0,0 +1,50 @@
+package org.lycheetray.edge;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.lycheetray.core.allowance.RetryAllowance;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.quota.QuotaTolerance;
+import org.lycheetray.edge.settings.EdgeSettings;
+
+/** Settings of VMs that listen nowhere. */
+public final class EdgeSettingsFixture {
+    private static final Endpoint NOWHERE = new Endpoint("127.0.0.1", 1);
+
+    private EdgeSettingsFixture() {}
+
+    /** Limits that tests do not reach. */
+    static EdgeSettings.Bounds bounds(Duration grace) {
+        return new EdgeSettings.Bounds(
+                grace,
+                Duration.ofSeconds(5),
+                new RetryAllowance.RetryLimits(0.2, 50, Duration.ofSeconds(10)),
+                new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20),
+                1.5,
+                5,
+                0.15);
+    }
+
+    /** A VM in a data centre; regions by data centre. */
+    public static EdgeSettings vm(String name, String dataCentre, Map<String, String> regions) {
+        return new EdgeSettings(
+                new VmName(name),
+                new DataCentreName(dataCentre),
+                regions.entrySet().stream()
+                        .collect(Collectors.toMap(
+                                e -> new DataCentreName(e.getKey()), e -> new RegionName(e.getValue()))),
+                NOWHERE,
+                NOWHERE,
+                NOWHERE,
+                NOWHERE,
+                Optional.empty(),
+                NOWHERE,
+                430,
+                bounds(Duration.ofSeconds(1)));
+    }
+}
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/fleet/ReportsTest.java
@@ -0,0 +1,102 @@
+package org.lycheetray.edge.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lycheetray.core.fleet.FleetMember;
+import org.lycheetray.core.fleet.FleetView;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.edge.EdgeSettingsFixture;
+import org.lycheetray.edge.Transport;
+import org.lycheetray.edge.exchange.Steering;
+import org.lycheetray.edge.settings.EdgeSettings;
+import org.lycheetray.edge.store.StoreFollower;
+
+/** Two VMs of one region and one of another, in a fleet that is too large to tell all. */
+class ReportsTest {
+    private static final Map<String, String> REGIONS = Map.of("dc-a", "a", "dc-b", "b", "dc-c", "c");
+    private static final int OTHERS = 40;
+    private static final long LIMIT_NS = Duration.ofSeconds(20).toNanos();
+
+    private final Transport transport = new Transport();
+    private final List<Node> nodes = new ArrayList<>();
+
+    private final class Node {
+        private final FleetMember member;
+        private final FleetView view;
+        private final Reports reports;
+
+        Node(FleetMember member) {
+            this.member = member;
+            EdgeSettings s = EdgeSettingsFixture.vm(
+                    member.vm().value(), member.dataCentre().value(), REGIONS);
+            view = new FleetView(member.vm(), s.regions());
+            Steering steering = new Steering(s, Clock.system(), new SplittableRandom(1));
+            StoreFollower follower =
+                    new StoreFollower(null, steering, transport.loop(), Clock.system(), new SplittableRandom(1));
+            follower.stop();
+            reports = new Reports(transport, member, view, steering, follower, () -> true, Clock.system());
+            nodes.add(this);
+        }
+
+        boolean hasHeard(Node other) {
+            return view.forCaller(
+                            Optional.empty(),
+                            Optional.of(new RegionName(
+                                    REGIONS.get(other.member.dataCentre().value()))),
+                            Set.of(),
+                            Clock.system().monotonic())
+                    .contains(other.member);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        nodes.forEach(n -> n.reports.close());
+        transport.close();
+    }
+
+    private static FleetMember member(String name, String dc) throws IOException {
+        try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            Endpoint e = new Endpoint("127.0.0.1", s.getLocalPort());
+            return new FleetMember(new VmName(name), 1, new DataCentreName(dc), e, e);
+        }
+    }
+
+    @Test
+    void reportFromAnotherRegionIsPassedOnWithinTheRegion() throws Exception {
+        Node first = new Node(member("a-1", "dc-a"));
+        Node second = new Node(member("a-2", "dc-a"));
+        Node far = new Node(member("b-1", "dc-b"));
+        List<FleetMember> all = new ArrayList<>(List.of(first.member, second.member, far.member));
+        for (int i = 0; i < OTHERS; i++) {
+            all.add(member("c-" + i, "dc-c"));
+        }
+        nodes.forEach(n -> n.view.recorded(all, Clock.system().monotonic()));
+
+        long limit = System.nanoTime() + LIMIT_NS;
+        while (!(first.hasHeard(far) && second.hasHeard(far) && first.hasHeard(second))) {
+            assertThat(System.nanoTime()).isLessThan(limit);
+            far.view.recorded(all, Clock.system().monotonic());
+            transport.loop().submit(() -> nodes.forEach(n -> n.reports.send())).syncUninterruptibly();
+            Thread.sleep(20);
+        }
+        assertThat(far.view.audience(far.member, 1, Clock.system().monotonic()).near())
+                .isEmpty();
+    }
+}
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
@@ -7,23 +7,17 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.allowance.RetryAllowance;
 import org.lycheetray.core.fleet.FleetMember;
-import org.lycheetray.core.model.DataCentreName;
-import org.lycheetray.core.model.Endpoint;
-import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.VmName;
-import org.lycheetray.core.quota.QuotaTolerance;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.edge.EdgeSettingsFixture;
 import org.lycheetray.edge.exchange.Steering;
-import org.lycheetray.edge.settings.EdgeSettings;
 import reactor.core.publisher.Mono;
 
 /** Each feed call but the first listing stays without an answer, as when the store falls silent. */
@@ -34,8 +28,12 @@
     private final AtomicInteger calls = new AtomicInteger();
     private final AtomicInteger ended = new AtomicInteger();
     private final SteppedClock clock = new SteppedClock();
-    private final StoreFollower follower =
-            new StoreFollower(new SilentStore(), new Steering(settings(), clock, random()), loop, clock, random());
+    private final StoreFollower follower = new StoreFollower(
+            new SilentStore(),
+            new Steering(EdgeSettingsFixture.vm("vm", "dc", Map.of("dc", "region")), clock, random()),
+            loop,
+            clock,
+            random());
 
     @AfterEach
     void stop() {
@@ -98,30 +96,6 @@
         return new SplittableRandom(1);
     }
 
-    private static EdgeSettings settings() {
-        DataCentreName dc = new DataCentreName("dc");
-        Endpoint nowhere = new Endpoint("127.0.0.1", 1);
-        return new EdgeSettings(
-                new VmName("vm"),
-                dc,
-                Map.of(dc, new RegionName("region")),
-                nowhere,
-                nowhere,
-                nowhere,
-                nowhere,
-                Optional.empty(),
-                nowhere,
-                430,
-                new EdgeSettings.Bounds(
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(5),
-                        new RetryAllowance.RetryLimits(0.2, 50, Duration.ofSeconds(10)),
-                        new QuotaTolerance(Duration.ofSeconds(5), 0.1, 20),
-                        1.5,
-                        5,
-                        0.15));
-    }
-
     private static final class SteppedClock implements Clock {
         private volatile MonotonicTime now = new MonotonicTime(0);
 
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -271,7 +271,7 @@
 }
 
 /**
- * What a VM tells all others several times a second, as one datagram. It holds totals and states only, so that a lost,
+ * What a VM tells the others several times a second, as one datagram. It holds totals and states only, so that a lost,
  * repeated or reordered report does no harm.
  */
 struct VmReport {
@@ -279,15 +279,21 @@
   2: i64 incarnation
   /** Grows with each report of an incarnation. */
   3: i64 sequence
-  4: string dataCentre
+  /** Set in whole reports only, like the two addresses. */
+  4: optional string dataCentre
   /** Address for callers, host:port. */
-  5: string callers
+  5: optional string callers
   /** Address for reports, host:port. */
-  6: string reports
+  6: optional string reports
   /** True if look-ups may name the VM. */
   7: bool serving
+  /** All totals in a whole report, otherwise those that changed lately. */
   8: list<AccountTotal> admitted
   9: i64 configVersion
   /** Version of the store at the last change of backend servers that the VM has seen. */
   10: i64 serversVersion
+  /** True if nothing is left out. */
+  11: bool whole
+  /** Reports of VMs in other regions, passed on within the region. */
+  12: optional list<VmReport> relayed
 }
