A server's load is believed for as long as its requests take

Load is told with answers only, and was forgotten after 2 s, which is one answer of that service. It now fades within eight times the service's usual work: 2 s for quick services as before, longer for slow ones.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -85,6 +85,9 @@
     /** Plans of shares that are kept: a few for each service, as servers come and go. */
     private static final int REMEMBERED_SHARES = 64;
 
+    /** Usual work of a service to which nothing was sent yet. */
+    private static final double DEFAULT_WORK_NANOS = 250e6;
+
     /** Weight of a request in the usual work of its service, by which waits are estimated. */
     private static final double USUAL_SAMPLE = 0.05;
 
@@ -516,7 +519,7 @@
     public void reported(BackendServerName name, ReportedLoad load, MonotonicTime now) {
         ServerState s = servers.get(name);
         if (s != null) {
-            s.reported(load, now);
+            s.reported(load, usualWork.getOrDefault(s.server().service(), DEFAULT_WORK_NANOS), now);
         }
     }
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -17,8 +17,8 @@
     /** Weight of a new work time, which varies more than other samples. */
     private static final double PACE_SAMPLE = 0.1;
 
-    /** Time after which a told load says little: several requests' work. */
-    private static final Duration LOAD_FADES = Duration.ofSeconds(2);
+    /** Times the usual work of its service after which a told load says nothing: a queue's worth of requests. */
+    private static final double LOAD_FADES = 8;
 
     /** First pause after a server could not be used; it doubles with each further failure. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
@@ -51,6 +51,7 @@
     private int inFlight;
     private double others;
     private MonotonicTime othersAt;
+    private double othersFadeNanos = 1;
     private double failures;
     private int failuresInRow;
     private MonotonicTime pausedUntil;
@@ -171,8 +172,7 @@
      * @return own requests and an estimate of the others'
      */
     public double load(MonotonicTime now) {
-        double age = (double) now.since(othersAt).toNanos() / LOAD_FADES.toNanos();
-        return inFlight + others * Math.max(0, 1 - age);
+        return inFlight + others(now);
     }
 
     /**
@@ -214,13 +214,18 @@
      * Takes the load that came with an answer.
      *
      * @param load the load
+     * @param usualNanos usual work of a request of its service, nanoseconds
      * @param now present time
      */
-    public void reported(ReportedLoad load, MonotonicTime now) {
+    public void reported(ReportedLoad load, double usualNanos, MonotonicTime now) {
         double sample = Math.max(0, load.running() + load.waiting() - inFlight);
-        double before = others * Math.max(0, 1 - (double) now.since(othersAt).toNanos() / LOAD_FADES.toNanos());
-        others = (before + sample) / 2;
+        others = (others(now) + sample) / 2;
         othersAt = now;
+        othersFadeNanos = LOAD_FADES * usualNanos;
+    }
+
+    private double others(MonotonicTime now) {
+        return others * Math.max(0, 1 - now.since(othersAt).toNanos() / othersFadeNanos);
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementLoadTest.java
@@ -45,6 +45,15 @@
         assertThat(mean(reads(1, 1), r -> r.byRegion[1][0] / r.byRegion[1][1])).isGreaterThan(0.75);
     }
 
+    /** Requests of two seconds at twice the usual rate: a server's load is told seldom and must be believed for longer. */
+    @Test
+    void burstOfSlowRequestsIsNotSentToFullServers() {
+        FleetSimulation.Load load = new FleetSimulation.Load(
+                UNEVEN, 3, 3, 2_040, 1_206, 10_000, 5_000, 12, 0.55, 24, 25, 2, 8, 16, 32, 0.15);
+
+        assertThat(mean(load, r -> (double) r.shed / r.runs)).isLessThan(0.05);
+    }
+
     /** Ninety VMs of which each sees few requests for any object: what one has sent, the others must make use of. */
     @Test
     void largeFleetSendsObjectsWhereAnotherVmSentThem() {
