--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/ReportPace.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/ReportPace.java
@@ -7,7 +7,8 @@
 /**
  * Decides when a VM tells the others how it is.
  *
- * <p>All tell all, so the pauses grow with the fleet: what each VM has to read stays bounded. For one thread.
+ * <p>Each VM hears of all others, directly or through a relay, so the pauses grow with the fleet: what a VM has to read
+ * stays bounded. For one thread.
  */
 public final class ReportPace {
     /** Usual pause; silence is noticed after a few of them. */
