--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -300,8 +300,8 @@
                 allowed.add(s);
             }
         }
-        List<ServerState> well = allowed.stream().filter(s -> !s.isPaused(now)).toList();
-        List<ServerState> considered = well.isEmpty() ? List.of() : well;
+        List<ServerState> considered =
+                allowed.stream().filter(s -> !s.isPaused(now)).toList();
         List<Candidate> result = new ArrayList<>(considered.size());
         WorkTimes times = times(request.route());
         Set<RegionName> open = openRegions(considered, now);
@@ -387,7 +387,7 @@
         Optional<String> object = request.object().map(o -> objectKey(request));
         return new Ranking(
                 object,
-                plannedRegion(request, allowed),
+                plannedRegion(request.service(), object, allowed),
                 new FirstRanked(object.orElse(""), object.isPresent() ? considered : List.of()));
     }
 
@@ -422,16 +422,15 @@
     }
 
     /** Region whose servers should know the request's object; the own one for requests without. */
-    private RegionName plannedRegion(PlacementRequest request, List<ServerState> allowed) {
+    private RegionName plannedRegion(ServiceName service, Optional<String> object, List<ServerState> allowed) {
         RegionName own = settings.region(settings.dataCentre());
-        if (request.object().isEmpty() || allowed.isEmpty()) {
+        if (object.isEmpty() || allowed.isEmpty()) {
             return own;
         }
         Map<RegionName, Integer> slots = new HashMap<>();
         allowed.forEach(s -> slots.merge(s.region(), s.server().slots(), Integer::sum));
-        return shares.computeIfAbsent(
-                        new ShareKey(request.service(), slots), k -> RegionShares.plan(own, slots, demand))
-                .of(objectKey(request));
+        return shares.computeIfAbsent(new ShareKey(service, slots), k -> RegionShares.plan(own, slots, demand))
+                .of(object.get());
     }
 
     private record ShareKey(ServiceName service, Map<RegionName, Integer> slots) {}
@@ -522,14 +521,4 @@
             s.reported(load, usualWork.getOrDefault(s.server().service(), DEFAULT_WORK_NANOS), now);
         }
     }
-
-    /**
-     * The region of a server.
-     *
-     * @param server the server
-     * @return its region
-     */
-    public RegionName region(RegisteredServer server) {
-        return settings.region(server.dataCentre());
-    }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/RegionMoves.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/RegionMoves.java
@@ -18,9 +18,6 @@
     /** Length of the windows that are compared. Source: the operators' definition of a shift. */
     private static final Duration WINDOW = Duration.ofSeconds(2);
 
-    /** Part of the limit that one VM uses: the VMs' chance deviations partly cancel out in the fleet. */
-    private static final double SAFETY = 1.0;
-
     /** Requests in a window below which shares mean nothing. */
     private static final int LEAST_REQUESTS = 16;
 
@@ -115,7 +112,7 @@
                 moved += Math.max(0, present.share(other, 0, 1) - before.share(other, 0, 0));
             }
         }
-        return moved <= SAFETY * mostShift;
+        return moved <= mostShift;
     }
 
     private void advance(MonotonicTime now) {
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.apache.commons.cli.help.HelpFormatter;
 import org.lycheetray.core.time.Clock;
-import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.lifecycle.ProcessUtil;
 import org.lycheetray.daemon.log.Logging;
 import org.lycheetray.daemon.settings.Settings;
 import org.lycheetray.daemon.settings.SettingsError;
@@ -13,7 +13,6 @@
 
 /** Entry point of the daemon. */
 public final class Lycheetrayd {
-    private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
     private Lycheetrayd() {}
@@ -50,31 +49,11 @@
 
     private static void run(Settings settings) throws InterruptedException {
         Logging.configure(settings.logFormat(), settings.logLevel());
-        Daemon daemon = start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+        Daemon daemon = ProcessUtil.startOrExit(settings.vm(), () -> Daemon.create(settings, Clock.system()));
+        ProcessUtil.closeOnSignal(daemon::close);
         daemon.awaitStopped();
     }
 
-    /** Stops as planned; ends the process with status 0, which a signal alone would not give. */
-    private static void stop(Daemon daemon) {
-        daemon.close();
-        Runtime.getRuntime().halt(0);
-    }
-
-    private static Daemon start(Settings settings) {
-        try {
-            return Daemon.create(settings, Clock.system());
-        } catch (RuntimeException e) {
-            LogEvent.of("start-failed")
-                    .with("step", "listen")
-                    .with("vm", settings.vm())
-                    .with("cause", e)
-                    .error();
-            System.exit(EXIT_FAILED);
-            throw e;
-        }
-    }
-
     private static String version() {
         String version = Lycheetrayd.class.getPackage().getImplementationVersion();
         return version == null ? "development" : version;
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/HeaderUtil.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/request/internal/HeaderUtil.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
+import org.lycheetray.daemon.request.HopByHopUtil;
 
 /** Decides which headers pass from caller to backend server and back. */
 public final class HeaderUtil {
@@ -27,20 +27,6 @@
     /** Names a request that must run at most once. */
     public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-    private static final Set<String> HOP_BY_HOP = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "http2-settings",
-            "content-length",
-            "expect");
-
     private HeaderUtil() {}
 
     /**
@@ -79,8 +65,6 @@
     }
 
     private static boolean passes(String name, HttpHeaders all) {
-        String lower = name.toLowerCase(Locale.ROOT);
-        boolean named = all.containsValue(HttpHeaderNames.CONNECTION, lower, true);
-        return !HOP_BY_HOP.contains(lower) && !lower.startsWith(OWN_PREFIX) && !named;
+        return !name.toLowerCase(Locale.ROOT).startsWith(OWN_PREFIX) && HopByHopUtil.passesOn(name, all);
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
@@ -14,7 +14,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.lycheetray.core.time.Clock;
-import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.lifecycle.ProcessUtil;
 import org.lycheetray.daemon.log.LogFormat;
 import org.lycheetray.daemon.log.Logging;
 import org.lycheetray.edge.settings.EdgeSetting;
@@ -23,7 +23,6 @@
 
 /** The life of an edge's process: command line, settings, signals. */
 public final class EdgeMain {
-    private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
     private final Path file;
@@ -63,35 +62,15 @@
     }
 
     private void start(EdgeSettings settings, EdgeAdapter adapter) throws InterruptedException {
-        Edge edge = create(settings, adapter);
+        Edge edge = ProcessUtil.startOrExit(settings.vm(), () -> Edge.start(settings, adapter, Clock.system()));
         SettingsWatch watch = new SettingsWatch(this::read, settings, edge);
         HangUpSignal.handle(() -> watch.check("signal"));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(edge), "stop"));
+        ProcessUtil.closeOnSignal(edge::close);
         while (!edge.awaitStopped(SettingsWatch.PERIOD)) {
             watch.check("file");
         }
     }
 
-    private static Edge create(EdgeSettings settings, EdgeAdapter adapter) {
-        try {
-            return Edge.start(settings, adapter, Clock.system());
-        } catch (RuntimeException e) {
-            LogEvent.of("start-failed")
-                    .with("step", "listen")
-                    .with("vm", settings.vm())
-                    .with("cause", e)
-                    .error();
-            System.exit(EXIT_FAILED);
-            throw e;
-        }
-    }
-
-    /** Stops as planned; ends the process with status 0, which a signal alone would not give. */
-    private static void stop(Edge edge) {
-        edge.close();
-        Runtime.getRuntime().halt(0);
-    }
-
     private Either<List<String>, EdgeSettings> read() {
         try {
             String text = Files.exists(file) ? Files.readString(file) : "";
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Transport.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Transport.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.time.Duration;
+import java.util.Map;
 import org.lycheetray.core.model.Endpoint;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -28,6 +29,12 @@
     private static final int PROBE_INTERVAL_S = 1;
     private static final int PROBES = 2;
 
+    /** Probes of the path of a silent connection. */
+    private static final Map<ChannelOption<Integer>, Integer> PROBING = Map.of(
+            EpollChannelOption.TCP_KEEPIDLE, PROBE_IDLE_S,
+            EpollChannelOption.TCP_KEEPINTVL, PROBE_INTERVAL_S,
+            EpollChannelOption.TCP_KEEPCNT, PROBES);
+
     /** Time that sent bytes may stay unacknowledged, in milliseconds: the same as probing takes. */
     private static final int USER_TIMEOUT_MS = 3_000;
 
@@ -68,10 +75,8 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true);
         if (isEpoll()) {
-            b.childOption(EpollChannelOption.TCP_KEEPIDLE, PROBE_IDLE_S)
-                    .childOption(EpollChannelOption.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-                    .childOption(EpollChannelOption.TCP_KEEPCNT, PROBES)
-                    .childOption(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+            PROBING.forEach(b::childOption);
+            b.childOption(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
         }
         return b;
     }
@@ -90,10 +95,8 @@
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
         if (isEpoll()) {
-            b.option(EpollChannelOption.TCP_KEEPIDLE, PROBE_IDLE_S)
-                    .option(EpollChannelOption.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-                    .option(EpollChannelOption.TCP_KEEPCNT, PROBES)
-                    .option(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+            PROBING.forEach(b::option);
+            b.option(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
         }
         return b;
     }
@@ -113,11 +116,12 @@
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CALL_CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.SO_KEEPALIVE, true);
-        return isEpoll()
-                ? c.option(EpollChannelOption.TCP_KEEPIDLE, PROBE_IDLE_S)
-                        .option(EpollChannelOption.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-                        .option(EpollChannelOption.TCP_KEEPCNT, PROBES)
-                : c;
+        if (isEpoll()) {
+            for (Map.Entry<ChannelOption<Integer>, Integer> o : PROBING.entrySet()) {
+                c = c.option(o.getKey(), o.getValue());
+            }
+        }
+        return c;
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -21,7 +21,7 @@
 import org.lycheetray.edge.dialect.BackendDialect;
 
 /** Sends requests to backend servers over kept connections. For the event loop. */
-public final class BackendClient implements AutoCloseable {
+public final class BackendClient {
     /** Longest time to connect: some round trips between regions; a server that needs longer is of no use. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
@@ -173,9 +173,4 @@
             return gone;
         });
     }
-
-    @Override
-    public void close() {
-        pools.values().forEach(BackendClient::retire);
-    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -30,6 +30,7 @@
 import org.lycheetray.core.traffic.TrafficConfig;
 import org.lycheetray.core.traffic.TrafficRoute;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.daemon.request.HopByHopUtil;
 import org.lycheetray.edge.backend.Attempt;
 import org.lycheetray.edge.backend.AttemptResult;
 import org.lycheetray.edge.backend.OutgoingRequest;
@@ -75,6 +76,7 @@
     private PlacementRequest placement;
     private MonotonicTime end;
     private ScheduledFuture<?> endTimer;
+    private ScheduledFuture<?> overdueTimer;
     private boolean charged;
     private boolean waiting;
     private boolean over;
@@ -239,7 +241,8 @@
 
     private void watch(Running r, Duration pause) {
         if (placement.route().isRepeatable() && running.contains(r)) {
-            var _ = parts.loop().schedule(() -> overdue(r), pause.toNanos(), TimeUnit.NANOSECONDS);
+            cancel(overdueTimer);
+            overdueTimer = parts.loop().schedule(() -> overdue(r), pause.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -265,7 +268,7 @@
     }
 
     private HttpHeaders outgoingHeaders(RegisteredServer server) {
-        HttpHeaders h = HeaderUtil.withoutConnection(request.headers());
+        HttpHeaders h = HopByHopUtil.copy(request.headers());
         Duration left = end.since(now());
         parts.servers()
                 .instruct(h, new BackendDialect.Instructions(server.name(), account.map(AccountPolicy::name), left));
@@ -415,7 +418,7 @@
     }
 
     private void deliver(AttemptResult.Answer a) {
-        HttpHeaders h = HeaderUtil.withoutConnection(a.headers());
+        HttpHeaders h = HopByHopUtil.copy(a.headers());
         over("answered", a.status());
         responder.accept(new Reply(a.status(), h, a.body()));
     }
@@ -446,9 +449,8 @@
     private void over(String outcome, int status) {
         over = true;
         cancelRunning();
-        if (endTimer != null) {
-            endTimer.cancel(false);
-        }
+        cancel(endTimer);
+        cancel(overdueTimer);
         owner.over();
         parts.observer()
                 .finished(new ExchangeObserver.Finished(
@@ -464,6 +466,12 @@
                         now().since(request.received())));
     }
 
+    private static void cancel(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
     private MonotonicTime now() {
         return parts.clock().monotonic();
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Steering.java
@@ -41,7 +41,7 @@
     /** Part of a server's connections that the fleet uses: others may be closing, and checks need some. */
     private static final double CONNECTION_SHARE = 0.8;
 
-    private final EdgeSettings settings;
+    private final PlacementSettings placementSettings;
     private final Clock clock;
     private final RandomGenerator random;
     private final ServerRegistry registry = new ServerRegistry();
@@ -62,19 +62,17 @@
      * @param random breaks ties
      */
     public Steering(EdgeSettings settings, Clock clock, RandomGenerator random) {
-        this.settings = settings;
         this.clock = clock;
         this.random = random;
         EdgeSettings.Bounds b = settings.bounds();
-        this.placement = new Placement(
-                new PlacementSettings(
-                        settings.vm(),
-                        settings.dataCentre(),
-                        settings.regions(),
-                        b.coldOverage(),
-                        b.coldSlack(),
-                        b.mostShift()),
-                random);
+        this.placementSettings = new PlacementSettings(
+                settings.vm(),
+                settings.dataCentre(),
+                settings.regions(),
+                b.coldOverage(),
+                b.coldSlack(),
+                b.mostShift());
+        this.placement = new Placement(placementSettings, random);
         this.quota = new FleetQuota(b.quota());
         this.retries = new RetryAllowance(b.retries());
     }
@@ -85,12 +83,7 @@
      * @param reading all of them
      */
     public void operatorRecords(Reading reading) {
-        Set<DataCentreName> before = Set.copyOf(evacuated);
-        evacuated.clear();
-        reading.records().forEach(this::operatorRecord);
-        if (!before.equals(evacuated)) {
-            evacuationChanged();
-        }
+        operator(reading, true);
     }
 
     /**
@@ -99,7 +92,14 @@
      * @param reading the changes
      */
     public void operatorChanges(Reading reading) {
+        operator(reading, false);
+    }
+
+    private void operator(Reading reading, boolean whole) {
         Set<DataCentreName> before = Set.copyOf(evacuated);
+        if (whole) {
+            evacuated.clear();
+        }
         reading.records().forEach(this::operatorRecord);
         if (!before.equals(evacuated)) {
             evacuationChanged();
@@ -278,7 +278,7 @@
     public void vms(Map<VmName, DataCentreName> others) {
         vms = others.size() + 1;
         Map<VmName, RegionName> regions = new HashMap<>();
-        others.forEach((vm, dc) -> regions.put(vm, settings.regions().getOrDefault(dc, new RegionName(dc.value()))));
+        others.forEach((vm, dc) -> regions.put(vm, placementSettings.region(dc)));
         placement.vms(regions);
         retries.vms(vms);
         quota.members(others.keySet(), clock.monotonic());
