Log removals of backend servers that are deferred

Change: server-removal-deferred when a removal is postponed, with the store version of the reading; servers-read-after-failure when servers are read shortly after a failed call, with the age of that failure. No change of logic.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
@@ -39,16 +39,29 @@
     private final Map<BackendServerName, RegisteredServer> servers = new HashMap<>();
     private final Map<BackendServerName, MonotonicTime> pendingRemovals = new HashMap<>();
 
+    /**
+     * Servers whose entries were removed in one update.
+     *
+     * @param removed names of the servers that were removed at once
+     * @param deferred names of the servers that are kept until the grace period has passed
+     */
+    public record Removals(List<BackendServerName> removed, List<BackendServerName> deferred) {
+        /** Copies the lists. */
+        public Removals {
+            removed = List.copyOf(removed);
+            deferred = List.copyOf(deferred);
+        }
+    }
+
     /**
      * Applies a complete listing of the entries.
      *
      * @param entries all readable entries
      * @param doubtful true if the store was recently unavailable
      * @param now current time
-     * @return names of the servers that were removed at once
+     * @return the servers that are missing from the listing
      */
-    public List<BackendServerName> replaceAll(
-            Collection<RegisteredServer> entries, boolean doubtful, MonotonicTime now) {
+    public Removals replaceAll(Collection<RegisteredServer> entries, boolean doubtful, MonotonicTime now) {
         Set<BackendServerName> missing = new HashSet<>(servers.keySet());
         entries.forEach(e -> {
             put(e);
@@ -79,22 +92,24 @@
      * @param names names of the removed entries
      * @param doubtful true if the store was recently unavailable
      * @param now current time
-     * @return names of the servers that were removed at once
+     * @return the servers among them that were known
      */
-    public List<BackendServerName> removeAll(Collection<BackendServerName> names, boolean doubtful, MonotonicTime now) {
+    public Removals removeAll(Collection<BackendServerName> names, boolean doubtful, MonotonicTime now) {
         List<BackendServerName> known =
                 names.stream().filter(servers::containsKey).toList();
         boolean massRemoval = known.size() >= MIN_MASS_REMOVAL && known.size() * MASS_REMOVAL_DIVISOR >= servers.size();
         List<BackendServerName> removed = new ArrayList<>();
+        List<BackendServerName> deferred = new ArrayList<>();
         for (BackendServerName name : known) {
             if ((doubtful || massRemoval) && !servers.get(name).draining()) {
                 pendingRemovals.putIfAbsent(name, now.plus(REMOVAL_GRACE_PERIOD));
+                deferred.add(name);
             } else {
                 remove(name);
                 removed.add(name);
             }
         }
-        return removed;
+        return new Removals(removed, deferred);
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/registry/ServerRegistryTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/registry/ServerRegistryTest.java
@@ -18,9 +18,10 @@
     void removalTakesEffectAtOnce() {
         put("a", "b");
 
-        List<BackendServerName> removed = registry.removeAll(List.of(name("a")), false, START);
+        ServerRegistry.Removals removals = registry.removeAll(List.of(name("a")), false, START);
 
-        assertThat(removed).containsExactly(name("a"));
+        assertThat(removals.removed()).containsExactly(name("a"));
+        assertThat(removals.deferred()).isEmpty();
         assertThat(registry.find(name("a"))).isEmpty();
     }
 
@@ -28,8 +29,10 @@
     void removalAfterStoreOutageTakesEffectAfterTheGracePeriod() {
         put("a", "b");
 
-        registry.removeAll(List.of(name("a")), true, START);
+        ServerRegistry.Removals removals = registry.removeAll(List.of(name("a")), true, START);
 
+        assertThat(removals.removed()).isEmpty();
+        assertThat(removals.deferred()).containsExactly(name("a"));
         assertThat(registry.find(name("a"))).isPresent();
         assertThat(registry.removeExpired(START.plus(ServerRegistry.REMOVAL_GRACE_PERIOD)))
                 .containsExactly(name("a"));
@@ -51,10 +54,11 @@
     void massRemovalIsDelayed() {
         put(names(8));
 
-        List<BackendServerName> removed = registry.removeAll(
+        ServerRegistry.Removals removals = registry.removeAll(
                 IntStream.range(0, 5).mapToObj(i -> name("s" + i)).toList(), false, START);
 
-        assertThat(removed).isEmpty();
+        assertThat(removals.removed()).isEmpty();
+        assertThat(removals.deferred()).hasSize(5);
         assertThat(registry.servers()).hasSize(8);
     }
 
@@ -63,7 +67,8 @@
         registry.put(ServerBuilder.entry("a").draining().build());
         put("b");
 
-        assertThat(registry.removeAll(List.of(name("a")), true, START)).containsExactly(name("a"));
+        assertThat(registry.removeAll(List.of(name("a")), true, START).removed())
+                .containsExactly(name("a"));
     }
 
     @Test
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -171,8 +171,11 @@
                 .filter(r -> r instanceof StoreRecord.Server)
                 .map(r -> ((StoreRecord.Server) r).server())
                 .toList();
-        logRemovedServers(
-                registry.replaceAll(present, storeDisturbed, now), "missing from a complete listing", storeDisturbed);
+        logRemovals(
+                registry.replaceAll(present, storeDisturbed, now),
+                "missing from a complete listing",
+                storeDisturbed,
+                batch.version());
         batch.records().forEach(r -> {
             if (!(r instanceof StoreRecord.Server)) {
                 applyServerRecord(r);
@@ -207,7 +210,7 @@
                 .filter(r -> r instanceof StoreRecord.ServerGone)
                 .map(r -> ((StoreRecord.ServerGone) r).name())
                 .toList();
-        logRemovedServers(registry.removeAll(gone, storeDisturbed, now), "entry removed", storeDisturbed);
+        logRemovals(registry.removeAll(gone, storeDisturbed, now), "entry removed", storeDisturbed, batch.version());
         updatePlacementServers(now);
     }
 
@@ -234,6 +237,19 @@
         }
     }
 
+    private static void logRemovals(
+            ServerRegistry.Removals removals, String why, boolean storeDisturbed, long storeVersion) {
+        logRemovedServers(removals.removed(), why, storeDisturbed);
+        removals.deferred()
+                .forEach(n -> LogEvent.of("server-removal-deferred")
+                        .with("server", n)
+                        .with("why", why)
+                        .with("store-disturbed", storeDisturbed)
+                        .with("store-version", storeVersion)
+                        .with("for-ms", ServerRegistry.REMOVAL_GRACE_PERIOD.toMillis())
+                        .info());
+    }
+
     private static void logRemovedServers(List<BackendServerName> names, String why, boolean storeDisturbed) {
         names.forEach(n -> LogEvent.of("server-gone")
                 .with("server", n)
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -211,6 +211,9 @@
                 }
             }
             case SERVERS -> {
+                if (recentFailure && (complete || !batch.records().isEmpty())) {
+                    logRecentFailure(batch);
+                }
                 lastServerChange = Math.max(lastServerChange, batch.lastChangeVersion());
                 if (complete) {
                     steering.applyServerSnapshot(batch, recentFailure);
@@ -224,6 +227,14 @@
         }
     }
 
+    private void logRecentFailure(RecordBatch batch) {
+        lastFailure.ifPresent(t -> LogEvent.of("servers-read-after-failure")
+                .with("version", batch.version())
+                .with("records", batch.records().size())
+                .with("last-failure-ms", clock.monotonic().since(t).toMillis())
+                .info());
+    }
+
     private boolean hasRecentFailure() {
         return lastFailure
                 .filter(t -> clock.monotonic().since(t).compareTo(ENTRY_RECOVERY_PERIOD) < 0)
