Count the time for entries to reappear from the store's return

What callers saw: nothing; a backend server that had left received requests up to 2.3 s after the store had removed its entry (bound 2 s). Cause: a removal that was read within 4 s after a failed call took effect 2.2 s after it was read. An entry that ends 3 s after an outage, when the store counts as stable again, therefore stayed in use beyond its 2 s. Change: StoreOutageTracker finds the store's return: the first answer after a failure. Missing entries may reappear until 2.2 s after it, whenever their removal is read; later removals take effect at once. A lost call that is noticed after another call was answered does not count as a new outage. Why it works: a VM reaches a store that refuses calls again within 1.6 s of its return, so that the period ends before 4 s; a removal that counts is at least 3 s after the return and must take effect within 2 s.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
@@ -1,6 +1,5 @@
 package org.lycheetray.core.registry;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -16,17 +15,11 @@
  * Tracks which backend servers exist, based on their entries in the store.
  *
  * <p>Entries may expire during an outage of the store although their servers are running. The removal of an entry
- * shortly after such an outage, or together with many others, therefore takes effect only after
- * {@link #REMOVAL_GRACE_PERIOD} unless the entry reappears. Draining servers and all other removed servers are removed
- * at once. Not thread-safe.
+ * shortly after such an outage therefore takes effect only when the time for entries to reappear has passed, see
+ * {@link StoreOutageTracker}. A removal together with many others is treated as one after an outage that ended when it
+ * was read. Draining servers and all other removed servers are removed at once. Not thread-safe.
  */
 public final class ServerRegistry {
-    /**
-     * Time for an expired entry to reappear. Running servers renew their entries within about 2 s after the store has
-     * recovered.
-     */
-    public static final Duration REMOVAL_GRACE_PERIOD = Duration.ofMillis(2_200);
-
     /**
      * Divisor of the number of servers: if at least this part of them is removed in one update, a store failure is
      * assumed rather than a shutdown of so many servers.
@@ -43,7 +36,7 @@
      * Servers whose entries were removed in one update.
      *
      * @param removed names of the servers that were removed at once
-     * @param deferred names of the servers that are kept until the grace period has passed
+     * @param deferred names of the servers that are kept until their entries can no longer reappear
      */
     public record Removals(List<BackendServerName> removed, List<BackendServerName> deferred) {
         /** Copies the lists. */
@@ -57,17 +50,19 @@
      * Applies a complete listing of the entries.
      *
      * @param entries all readable entries
-     * @param doubtful true if the store was recently unavailable
+     * @param reappearanceDeadline time until which entries that expired in an outage of the store may reappear, or empty
+     *     if there was no recent outage
      * @param now current time
      * @return the servers that are missing from the listing
      */
-    public Removals replaceAll(Collection<RegisteredServer> entries, boolean doubtful, MonotonicTime now) {
+    public Removals replaceAll(
+            Collection<RegisteredServer> entries, Optional<MonotonicTime> reappearanceDeadline, MonotonicTime now) {
         Set<BackendServerName> missing = new HashSet<>(servers.keySet());
         entries.forEach(e -> {
             put(e);
             missing.remove(e.name());
         });
-        return removeAll(missing, doubtful, now);
+        return removeAll(missing, reappearanceDeadline, now);
     }
 
     /**
@@ -90,19 +85,24 @@
      * Applies the removal of entries that were reported in one update.
      *
      * @param names names of the removed entries
-     * @param doubtful true if the store was recently unavailable
+     * @param reappearanceDeadline time until which entries that expired in an outage of the store may reappear, or empty
+     *     if there was no recent outage
      * @param now current time
      * @return the servers among them that were known
      */
-    public Removals removeAll(Collection<BackendServerName> names, boolean doubtful, MonotonicTime now) {
+    public Removals removeAll(
+            Collection<BackendServerName> names, Optional<MonotonicTime> reappearanceDeadline, MonotonicTime now) {
         List<BackendServerName> known =
                 names.stream().filter(servers::containsKey).toList();
         boolean massRemoval = known.size() >= MIN_MASS_REMOVAL && known.size() * MASS_REMOVAL_DIVISOR >= servers.size();
+        Optional<MonotonicTime> deadline = massRemoval && reappearanceDeadline.isEmpty()
+                ? Optional.of(now.plus(StoreOutageTracker.REAPPEARANCE_PERIOD))
+                : reappearanceDeadline;
         List<BackendServerName> removed = new ArrayList<>();
         List<BackendServerName> deferred = new ArrayList<>();
         for (BackendServerName name : known) {
-            if ((doubtful || massRemoval) && !servers.get(name).draining()) {
-                pendingRemovals.putIfAbsent(name, now.plus(REMOVAL_GRACE_PERIOD));
+            if (deadline.isPresent() && !servers.get(name).draining()) {
+                pendingRemovals.putIfAbsent(name, deadline.get());
                 deferred.add(name);
             } else {
                 remove(name);
@@ -123,7 +123,7 @@
     }
 
     /**
-     * Removes the servers whose expired entries did not reappear within the grace period.
+     * Removes the servers whose expired entries did not reappear in time.
      *
      * @param now current time
      * @return names of the removed servers
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -163,18 +163,19 @@
      * Applies a complete listing of the backend servers' entries.
      *
      * @param batch all entries
-     * @param storeDisturbed true if the store failed shortly before, so that missing entries may be its fault
+     * @param reappearanceDeadline time until which missing entries may reappear after an outage of the store, or empty if
+     *     there was no recent outage
      */
-    public void applyServerSnapshot(RecordBatch batch, boolean storeDisturbed) {
+    public void applyServerSnapshot(RecordBatch batch, Optional<MonotonicTime> reappearanceDeadline) {
         MonotonicTime now = clock.monotonic();
         List<RegisteredServer> present = batch.records().stream()
                 .filter(r -> r instanceof StoreRecord.Server)
                 .map(r -> ((StoreRecord.Server) r).server())
                 .toList();
         logRemovals(
-                registry.replaceAll(present, storeDisturbed, now),
+                registry.replaceAll(present, reappearanceDeadline, now),
                 "missing from a complete listing",
-                storeDisturbed,
+                reappearanceDeadline,
                 batch.version());
         batch.records().forEach(r -> {
             if (!(r instanceof StoreRecord.Server)) {
@@ -189,9 +190,10 @@
      * Applies changes of the backend servers' entries.
      *
      * @param batch the changed entries
-     * @param storeDisturbed true if the store failed shortly before, so that missing entries may be its fault
+     * @param reappearanceDeadline time until which missing entries may reappear after an outage of the store, or empty if
+     *     there was no recent outage
      */
-    public void applyServerChanges(RecordBatch batch, boolean storeDisturbed) {
+    public void applyServerChanges(RecordBatch batch, Optional<MonotonicTime> reappearanceDeadline) {
         if (batch.records().isEmpty()) {
             return;
         }
@@ -210,7 +212,11 @@
                 .filter(r -> r instanceof StoreRecord.ServerGone)
                 .map(r -> ((StoreRecord.ServerGone) r).name())
                 .toList();
-        logRemovals(registry.removeAll(gone, storeDisturbed, now), "entry removed", storeDisturbed, batch.version());
+        logRemovals(
+                registry.removeAll(gone, reappearanceDeadline, now),
+                "entry removed",
+                reappearanceDeadline,
+                batch.version());
         updatePlacementServers(now);
     }
 
@@ -238,7 +244,11 @@
     }
 
     private static void logRemovals(
-            ServerRegistry.Removals removals, String why, boolean storeDisturbed, long storeVersion) {
+            ServerRegistry.Removals removals,
+            String why,
+            Optional<MonotonicTime> reappearanceDeadline,
+            long storeVersion) {
+        boolean storeDisturbed = reappearanceDeadline.isPresent();
         logRemovedServers(removals.removed(), why, storeDisturbed);
         removals.deferred()
                 .forEach(n -> LogEvent.of("server-removal-deferred")
@@ -246,7 +256,6 @@
                         .with("why", why)
                         .with("store-disturbed", storeDisturbed)
                         .with("store-version", storeVersion)
-                        .with("for-ms", ServerRegistry.REMOVAL_GRACE_PERIOD.toMillis())
                         .info());
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.lycheetray.core.registry.StoreOutageTracker;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.log.LogEvent;
@@ -48,9 +49,6 @@
      */
     private static final Duration MAX_RETRY_PAUSE = Duration.ofSeconds(1);
 
-    /** Time after a failed call during which server entries missing from the store may still reappear. */
-    private static final Duration ENTRY_RECOVERY_PERIOD = Duration.ofSeconds(4);
-
     private final FleetStore store;
     private final TrafficSteering steering;
     private final EventLoop loop;
@@ -59,7 +57,7 @@
     private final Map<Topic, Long> knownVersions = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> failures = new EnumMap<>(Topic.class);
     private final Set<Topic> lostTopics = EnumSet.noneOf(Topic.class);
-    private Optional<MonotonicTime> lastFailure = Optional.empty();
+    private final StoreOutageTracker outages = new StoreOutageTracker();
     private final Map<Topic, Disposable> pendingCalls = new EnumMap<>(Topic.class);
     private final Map<Topic, Lag> lags = new EnumMap<>(Topic.class);
     private boolean stopped;
@@ -129,13 +127,14 @@
         Mono<RecordBatch> call = version == null
                 ? store.readAll(topic).timeout(RESPONSE_TIMEOUT)
                 : store.awaitChanges(topic, version, wait).timeout(wait.plus(RESPONSE_TIMEOUT));
+        MonotonicTime sent = clock.monotonic();
         pendingCalls.put(
                 topic,
                 call.switchIfEmpty(Mono.error(() -> new StoreException(
                                 StoreException.Kind.UNKNOWN, "read", "the call completed without a response")))
                         .subscribe(
                                 r -> loop.execute(() -> handleResult(topic, version == null, r)),
-                                e -> loop.execute(() -> handleFailure(topic, e))));
+                                e -> loop.execute(() -> handleFailure(topic, sent, e))));
     }
 
     /**
@@ -178,6 +177,7 @@
             return;
         }
         failures.remove(topic);
+        outages.recordAnswer(clock.monotonic());
         if (lostTopics.remove(topic)) {
             LogEvent.of("store-regained")
                     .with("topic", topic)
@@ -201,7 +201,7 @@
     }
 
     private void apply(Topic topic, boolean complete, RecordBatch batch) {
-        boolean recentFailure = hasRecentFailure();
+        MonotonicTime now = clock.monotonic();
         switch (topic) {
             case OPERATOR -> {
                 if (complete) {
@@ -211,14 +211,15 @@
                 }
             }
             case SERVERS -> {
-                if (recentFailure && (complete || !batch.records().isEmpty())) {
-                    logRecentFailure(batch);
+                Optional<MonotonicTime> deadline = outages.reappearanceDeadline(now);
+                if (complete || !batch.records().isEmpty()) {
+                    deadline.ifPresent(t -> logReadAfterOutage(batch, t.since(now)));
                 }
                 lastServerChange = Math.max(lastServerChange, batch.lastChangeVersion());
                 if (complete) {
-                    steering.applyServerSnapshot(batch, recentFailure);
+                    steering.applyServerSnapshot(batch, deadline);
                 } else {
-                    steering.applyServerChanges(batch, recentFailure);
+                    steering.applyServerChanges(batch, deadline);
                 }
             }
         }
@@ -227,21 +228,15 @@
         }
     }
 
-    private void logRecentFailure(RecordBatch batch) {
-        lastFailure.ifPresent(t -> LogEvent.of("servers-read-after-failure")
+    private static void logReadAfterOutage(RecordBatch batch, Duration toDeadline) {
+        LogEvent.of("servers-read-after-outage")
                 .with("version", batch.version())
                 .with("records", batch.records().size())
-                .with("last-failure-ms", clock.monotonic().since(t).toMillis())
-                .info());
-    }
-
-    private boolean hasRecentFailure() {
-        return lastFailure
-                .filter(t -> clock.monotonic().since(t).compareTo(ENTRY_RECOVERY_PERIOD) < 0)
-                .isPresent();
+                .with("missing-entries-wait-ms", toDeadline.toMillis())
+                .info();
     }
 
-    private void handleFailure(Topic topic, Throwable cause) {
+    private void handleFailure(Topic topic, MonotonicTime sent, Throwable cause) {
         if (stopped) {
             return;
         }
@@ -254,7 +249,7 @@
             readNext(topic);
             return;
         }
-        lastFailure = Optional.of(clock.monotonic());
+        outages.recordFailure(sent);
         int n = failures.merge(topic, 1, Integer::sum);
         if (lostTopics.add(topic)) {
             LogEvent.of("store-lost")
