Bound the memory of all response bodies together

What callers would see: several backend servers whose answers never end fill the heap of a VM (128 MB as deployed), which then ends; every request on it is lost. Cause: each answer was limited to 32 MB, but nothing limited all of them together; request bodies had a budget, response bodies had none. Change: BodyBudget serves both; response bodies get a sixteenth of the process memory. An answer that finds none left fails its attempt, and its connection is closed. Test: EndlessAnswerTest.endlessBodiesTogetherAreCutOffBeforeTheyFillTheMemory, 8 callers: 298 MB were read before (bound 140 MB, an eighth of the memory plus socket buffers), now it passes; EndlessAnswerTest and EdgePathTest pass.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/BodyBudget.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/BodyBudget.java
@@ -1,7 +1,7 @@
-package org.lycheetray.edge.front;
+package org.lycheetray.edge;
 
 /**
- * Limits the memory that all buffered request bodies use together.
+ * Limits the memory that buffered bodies use together.
  *
  * <p>Not thread-safe: used on the event loop only.
  */
@@ -18,7 +18,13 @@
         this.limit = limit;
     }
 
-    boolean tryReserve(int bytes) {
+    /**
+     * Reserves memory unless the limit would be exceeded.
+     *
+     * @param bytes number of bytes
+     * @return true if the memory was reserved
+     */
+    public boolean tryReserve(int bytes) {
         if (reserved + bytes > limit) {
             return false;
         }
@@ -26,7 +32,12 @@
         return true;
     }
 
-    void release(long bytes) {
+    /**
+     * Releases reserved memory.
+     *
+     * @param bytes number of bytes
+     */
+    public void release(long bytes) {
         reserved -= bytes;
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -34,7 +34,6 @@
 import org.lycheetray.edge.exchange.TrafficSteering;
 import org.lycheetray.edge.fleet.FleetRegistration;
 import org.lycheetray.edge.front.AuxiliaryHttpServer;
-import org.lycheetray.edge.front.BodyBudget;
 import org.lycheetray.edge.front.CallerConnectionContext;
 import org.lycheetray.edge.front.CallerListener;
 import org.lycheetray.edge.log.RequestLog;
@@ -60,6 +59,12 @@
     /** Divisor of the process memory that gives the limit for buffered request bodies. */
     private static final int BODY_MEMORY_DIVISOR = 8;
 
+    /**
+     * Divisor of the process memory that gives the limit for buffered response bodies. Higher than for requests, since
+     * the length of a response may be unknown, and its buffer grows by copying.
+     */
+    private static final int RESPONSE_BODY_MEMORY_DIVISOR = 16;
+
     /**
      * Time after a stop request during which new requests are still accepted. Longer than {@link #MAX_LOOKUP_TTL},
      * because callers notice the stop only when their look-up answers expire.
@@ -107,6 +112,7 @@
                 transport,
                 adapter.backendDialect(),
                 clock,
+                bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR),
                 s -> steering.placement().suspectRestart(s.name(), clock.monotonic()));
         metrics = new EdgeMetrics(new RequestLog(clock));
         exchanges = new Exchanges(new ExchangeContext(
@@ -126,8 +132,12 @@
                 .ifPresent(a -> closer.add("metrics", new AuxiliaryHttpServer(transport, a, uri -> metricsPage())));
     }
 
+    private BodyBudget bodyBudget(int divisor) {
+        return new BodyBudget(((long) settings.memoryMegabytes() << 20) / divisor);
+    }
+
     private CallerConnectionContext callerConnectionContext() {
-        BodyBudget budget = new BodyBudget(((long) settings.memoryMegabytes() << 20) / BODY_MEMORY_DIVISOR);
+        BodyBudget budget = bodyBudget(BODY_MEMORY_DIVISOR);
         return new CallerConnectionContext(
                 exchanges,
                 () -> steering.config().map(TrafficConfig::limits).orElse(ClientLimits.INITIAL),
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -17,6 +17,7 @@
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
+import org.lycheetray.edge.BodyBudget;
 import org.lycheetray.edge.Transport;
 import org.lycheetray.edge.dialect.BackendDialect;
 
@@ -32,6 +33,7 @@
     private final Bootstrap bootstrap;
     private final BackendDialect dialect;
     private final Clock clock;
+    private final BodyBudget budget;
     private final Consumer<RegisteredServer> onIdleConnectionLost;
     private final Map<BackendServerName, Pool> pools = new HashMap<>();
 
@@ -53,12 +55,19 @@
      * @param transport provides the event loop and its sockets
      * @param dialect headers exchanged with backend servers
      * @param clock used to measure idle times
+     * @param budget limit of the memory for response bodies
      * @param lost called with the server if an idle connection closes before its idle timeout
      */
-    public BackendClient(Transport transport, BackendDialect dialect, Clock clock, Consumer<RegisteredServer> lost) {
+    public BackendClient(
+            Transport transport,
+            BackendDialect dialect,
+            Clock clock,
+            BodyBudget budget,
+            Consumer<RegisteredServer> lost) {
         this.bootstrap = transport.clientBootstrap(CONNECT_TIMEOUT);
         this.dialect = dialect;
         this.clock = clock;
+        this.budget = budget;
         this.onIdleConnectionLost = lost;
     }
 
@@ -120,6 +129,7 @@
                                 decoder,
                                 dialect,
                                 clock,
+                                budget,
                                 () -> returnToPool(pool, holder[0]),
                                 () -> onIdleConnectionLost.accept(pool.server));
                         ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder[0]);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -24,6 +24,7 @@
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.edge.BodyBudget;
 import org.lycheetray.edge.dialect.BackendDialect;
 
 /**
@@ -49,6 +50,7 @@
     private final ResponseDecoder decoder;
     private final BackendDialect dialect;
     private final Clock clock;
+    private final BodyBudget budget;
     private final Runnable onIdle;
     private final Runnable onIdleConnectionLost;
     private Attempt attempt;
@@ -57,7 +59,7 @@
     private boolean unusable;
     private boolean complete;
     private boolean connectionReset;
-    private ByteArrayOutputStream body;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Duration idleLimit = DEFAULT_IDLE_TIMEOUT;
     private MonotonicTime idleSince;
 
@@ -66,12 +68,14 @@
             ResponseDecoder decoder,
             BackendDialect dialect,
             Clock clock,
+            BodyBudget budget,
             Runnable onIdle,
             Runnable onLost) {
         this.channel = channel;
         this.decoder = decoder;
         this.dialect = dialect;
         this.clock = clock;
+        this.budget = budget;
         this.onIdle = onIdle;
         this.onIdleConnectionLost = onLost;
         this.idleSince = clock.monotonic();
@@ -115,6 +119,7 @@
     }
 
     private void cancelAttempt() {
+        dropBody();
         attempt = null;
         unusable = true;
         var _ = channel.close();
@@ -156,7 +161,7 @@
                 && !(id.isEmpty() && dialect.isNotRun(r.status().code(), r.headers()));
         unusable |= mismatched;
         head = r;
-        body = new ByteArrayOutputStream();
+        dropBody();
     }
 
     private void handleContent(HttpContent c) {
@@ -165,11 +170,15 @@
         }
         ByteBuf bytes = c.content();
         if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
-            unusable = true;
             failAttempt("response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
             var _ = channel.close();
             return;
         }
+        if (!budget.tryReserve(bytes.readableBytes())) {
+            failAttempt("response body at " + body.size() + " bytes exceeds the memory left for response bodies");
+            var _ = channel.close();
+            return;
+        }
         byte[] copy = new byte[bytes.readableBytes()];
         bytes.readBytes(copy);
         body.writeBytes(copy);
@@ -180,6 +189,7 @@
 
     private void completeResponse() {
         if (mismatched) {
+            dropBody();
             head = null;
             return;
         }
@@ -194,6 +204,7 @@
         readKeepAliveTimeout(h);
         Attempt a = attempt;
         AttemptResult result = toResult(status, h);
+        dropBody();
         if (!channel.isActive()) {
             release();
         }
@@ -242,7 +253,6 @@
         attempt = null;
         complete = false;
         head = null;
-        body = null;
         if (unusable) {
             var _ = channel.close();
         } else if (channel.isActive()) {
@@ -251,8 +261,15 @@
         }
     }
 
+    /** Drops the buffered body and releases its memory. */
+    private void dropBody() {
+        budget.release(body.size());
+        body = new ByteArrayOutputStream();
+    }
+
     private void failAttempt(String cause) {
         unusable = true;
+        dropBody();
         Attempt a = attempt;
         attempt = null;
         if (a != null && !a.isDone()) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.traffic.ClientLimits;
+import org.lycheetray.edge.BodyBudget;
 import org.lycheetray.edge.exchange.Exchanges;
 
 /**
