Remove servers that leave together within their drain time

What callers would see: requests to servers that have left, up to 2.2 s after the reading; a server that has exited by then leaves the outcome of an order unknown. Change: 1.4 s for removals of many servers without a known outage. Test: RemovalAfterStoreOutageTest.manyServersThatLeaveTogetherReceiveNoRequestsTwoSecondsLater, with 0.5 s for the reading; it failed before. Trade-off: after an outage that this VM did not notice, a server whose entry comes back later than 1.4 s is left out until then.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
@@ -1,5 +1,6 @@
 package org.lycheetray.core.registry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -16,8 +17,8 @@
  *
  * <p>Entries may expire during an outage of the store although their servers are running. The removal of an entry
  * shortly after such an outage therefore takes effect only when the time for entries to reappear has passed, see
- * {@link StoreOutageTracker}. A removal together with many others is treated as one after an outage that ended when it
- * was read. Draining servers and all other removed servers are removed at once. Not thread-safe.
+ * {@link StoreOutageTracker}. A removal together with many others takes effect after {@link #MASS_REMOVAL_GRACE_PERIOD},
+ * since this VM may not have noticed the outage. Draining servers and all other removed servers are removed at once. Not thread-safe.
  */
 public final class ServerRegistry {
     /**
@@ -29,6 +30,12 @@
     /** Minimum number of removals in one update that counts as a mass removal. */
     private static final int MIN_MASS_REMOVAL = 4;
 
+    /**
+     * Time for entries to reappear that were removed together without a known outage. Shorter than the time for which a
+     * server that leaves still accepts requests, less the delay until its removal is read.
+     */
+    private static final Duration MASS_REMOVAL_GRACE_PERIOD = Duration.ofMillis(1_400);
+
     private final Map<BackendServerName, RegisteredServer> servers = new HashMap<>();
     private final Map<BackendServerName, MonotonicTime> pendingRemovals = new HashMap<>();
 
@@ -96,7 +103,7 @@
                 names.stream().filter(servers::containsKey).toList();
         boolean massRemoval = known.size() >= MIN_MASS_REMOVAL && known.size() * MASS_REMOVAL_DIVISOR >= servers.size();
         Optional<MonotonicTime> deadline = massRemoval && reappearanceDeadline.isEmpty()
-                ? Optional.of(now.plus(StoreOutageTracker.REAPPEARANCE_PERIOD))
+                ? Optional.of(now.plus(MASS_REMOVAL_GRACE_PERIOD))
                 : reappearanceDeadline;
         List<BackendServerName> removed = new ArrayList<>();
         List<BackendServerName> deferred = new ArrayList<>();
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
@@ -34,6 +34,10 @@
 /** Tests for how long a backend server without an entry is used after the store was unavailable. */
 class RemovalAfterStoreOutageTest {
     private static final Duration STEP = Duration.ofMillis(50);
+
+    /** Longest time from a change in the store until a VM that reaches it has read the change. */
+    private static final Duration READING_DELAY = Duration.ofMillis(500);
+
     private static final BackendServerName SERVER = new BackendServerName("s0");
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -96,6 +100,19 @@
         assertThat(isUsed(SERVER)).isTrue();
     }
 
+    @Test
+    void manyServersThatLeaveTogetherReceiveNoRequestsTwoSecondsLater() {
+        List<BackendServerName> leaving = IntStream.range(0, 4)
+                .mapToObj(i -> new BackendServerName("s" + i))
+                .toList();
+
+        store.removeEntries(leaving);
+        advance(READING_DELAY);
+        advance(Duration.ofMillis(1_500));
+
+        assertThat(leaving).noneMatch(this::isUsed);
+    }
+
     private void refuseCallsFor(Duration time) {
         store.refuse(true);
         advance(time);
@@ -176,15 +193,21 @@
         }
 
         void removeEntry(BackendServerName server) {
-            publish(new StoreRecord.ServerGone(server));
+            removeEntries(List.of(server));
+        }
+
+        void removeEntries(List<BackendServerName> servers) {
+            publish(servers.stream()
+                    .<StoreRecord>map(StoreRecord.ServerGone::new)
+                    .toList());
         }
 
         void addEntry(BackendServerName server) {
-            publish(entry(server));
+            publish(List.of(entry(server)));
         }
 
-        private void publish(StoreRecord change) {
-            serverChanges.add(change);
+        private void publish(List<StoreRecord> changes) {
+            serverChanges.addAll(changes);
             Poll poll = pending.get(Topic.SERVERS);
             if (poll != null) {
                 answer(Topic.SERVERS, poll);
