Date the end of an outage by the first answer after a lost call

Cause: found in the reading of the change. A lost long poll is noticed up to 6.5 s after it was sent; StoreOutageTracker then took the last answer as the store's return, although the first one after the call was sent shows it, and so began the time for entries to reappear anew. Change: it remembers the last 64 answers. Tests: the case in StoreOutageTrackerTest has an answer right before the late notice; by reading it fails on the code before, it was not run there. Two test stores share their unused methods. Result: the tests of the registry, the follower and the path through the edge pass.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/ServerRegistry.java
@@ -17,8 +17,8 @@
  *
  * <p>Entries may expire during an outage of the store although their servers are running. The removal of an entry
  * shortly after such an outage therefore takes effect only when the time for entries to reappear has passed, see
- * {@link StoreOutageTracker}. A removal together with many others takes effect after {@link #MASS_REMOVAL_GRACE_PERIOD},
- * since this VM may not have noticed the outage. Draining servers and all other removed servers are removed at once. Not thread-safe.
+ * {@link StoreOutageTracker}. A removal together with many others is deferred by a shorter time, since this VM may not
+ * have noticed an outage. Draining servers and all other removed servers are removed at once. Not thread-safe.
  */
 public final class ServerRegistry {
     /**
--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/StoreOutageTracker.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/StoreOutageTracker.java
@@ -1,6 +1,7 @@
 package org.lycheetray.core.registry;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.Optional;
 import org.lycheetray.core.time.MonotonicTime;
 
@@ -18,27 +19,34 @@
      */
     public static final Duration REAPPEARANCE_PERIOD = Duration.ofMillis(2_200);
 
+    /** Maximum number of remembered answers; more than arrive while one long poll is pending. */
+    private static final int MAX_ANSWERS = 64;
+
+    private final ArrayDeque<MonotonicTime> answers = new ArrayDeque<>();
     private boolean unavailable;
-    private Optional<MonotonicTime> lastAnswer = Optional.empty();
     private Optional<MonotonicTime> returned = Optional.empty();
 
     /**
      * Records a call that failed.
      *
-     * <p>If another call was answered after this one was sent, the outage is over although its failure was noticed only
-     * now, as happens to long polls that are lost without an error.
+     * <p>If another call was answered after this one was sent, the outage ended with that answer at the latest. This
+     * happens to long polls that are lost without an error, since their failure is noticed late.
      *
      * @param sent time at which the call was sent
      */
     public void recordFailure(MonotonicTime sent) {
-        Optional<MonotonicTime> answer = lastAnswer.filter(sent::isBefore);
-        if (answer.isPresent() && !unavailable) {
-            returned = answer;
-        } else {
+        Optional<MonotonicTime> answer = firstAnswerAfter(sent);
+        if (answer.isEmpty()) {
             unavailable = true;
+        } else if (!unavailable) {
+            returned = returned.filter(answer.get()::isBefore).or(() -> answer);
         }
     }
 
+    private Optional<MonotonicTime> firstAnswerAfter(MonotonicTime sent) {
+        return answers.stream().filter(sent::isBefore).findFirst();
+    }
+
     /**
      * Records a call that was answered.
      *
@@ -49,7 +57,10 @@
             unavailable = false;
             returned = Optional.of(now);
         }
-        lastAnswer = Optional.of(now);
+        if (answers.size() == MAX_ANSWERS) {
+            answers.removeFirst();
+        }
+        answers.addLast(now);
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/registry/StoreOutageTrackerTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/registry/StoreOutageTrackerTest.java
@@ -33,6 +33,7 @@
         tracker.recordFailure(at(1_000));
         tracker.recordAnswer(at(3_000));
 
+        tracker.recordAnswer(at(6_900));
         tracker.recordFailure(at(500));
         tracker.recordAnswer(at(7_200));
 
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
@@ -17,12 +17,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.ServiceName;
-import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
@@ -151,7 +149,7 @@
     private record Poll(long after, MonotonicTime end, MonoSink<RecordBatch> sink) {}
 
     /** Store with twelve backend servers, which refuses calls or holds them until the test changes an entry. */
-    private final class ScriptedStore implements FleetStore {
+    private final class ScriptedStore implements ReadOnlyFleetStore {
         private final Map<Topic, Poll> pending = new EnumMap<>(Topic.class);
         private final Set<Topic> answered = EnumSet.noneOf(Topic.class);
         private final List<StoreRecord> serverChanges = new ArrayList<>();
@@ -255,23 +253,5 @@
                 }
             });
         }
-
-        @Override
-        public Mono<List<FleetMember>> readMembers() {
-            return Mono.just(List.of());
-        }
-
-        @Override
-        public Mono<Void> registerMember(FleetMember member) {
-            return Mono.empty();
-        }
-
-        @Override
-        public Mono<Void> removeMember(VmName vm) {
-            return Mono.empty();
-        }
-
-        @Override
-        public void close() {}
     }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
@@ -12,8 +12,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.fleet.FleetMember;
-import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.edge.EdgeSettingsFixture;
@@ -114,7 +112,7 @@
     }
 
     /** Store that never answers long polls; counts those for operator records, and how many of them were cancelled. */
-    private final class UnresponsiveStore implements FleetStore {
+    private final class UnresponsiveStore implements ReadOnlyFleetStore {
         static final long VERSION = 5;
 
         @Override
@@ -130,23 +128,5 @@
             calls.incrementAndGet();
             return Mono.<RecordBatch>never().doOnCancel(cancelled::incrementAndGet);
         }
-
-        @Override
-        public Mono<List<FleetMember>> readMembers() {
-            return Mono.just(List.of());
-        }
-
-        @Override
-        public Mono<Void> registerMember(FleetMember member) {
-            return Mono.empty();
-        }
-
-        @Override
-        public Mono<Void> removeMember(VmName vm) {
-            return Mono.empty();
-        }
-
-        @Override
-        public void close() {}
     }
 }
