Check simultaneous removals less the reading delay; one test clock

Change: the test checks after 1.5 s, the drain time less the reading delay, which is stricter; ManualClock serves both tests.

--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/RemovalAfterStoreOutageTest.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
@@ -22,7 +21,6 @@
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.ServiceName;
 import org.lycheetray.core.registry.RegisteredServer;
-import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.edge.EdgeSettingsFixture;
 import org.lycheetray.edge.exchange.TrafficSteering;
@@ -33,13 +31,16 @@
 class RemovalAfterStoreOutageTest {
     private static final Duration STEP = Duration.ofMillis(50);
 
+    /** Time for which a server that leaves still accepts requests. */
+    private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
+
     /** Longest time from a change in the store until a VM that reaches it has read the change. */
     private static final Duration READING_DELAY = Duration.ofMillis(500);
 
     private static final BackendServerName SERVER = new BackendServerName("s0");
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final SteppedClock clock = new SteppedClock();
+    private final ManualClock clock = new ManualClock();
     private final ScriptedStore store = new ScriptedStore();
     private final TrafficSteering steering = new TrafficSteering(
             EdgeSettingsFixture.vm("vm", "dc", Map.of("dc", "region")), clock, new SplittableRandom(1));
@@ -65,7 +66,7 @@
         advance(Duration.ofSeconds(3));
 
         store.removeEntry(SERVER);
-        advance(Duration.ofSeconds(2));
+        advance(DRAIN_TIME);
 
         assertThat(isUsed(SERVER)).isFalse();
     }
@@ -105,8 +106,7 @@
                 .toList();
 
         store.removeEntries(leaving);
-        advance(READING_DELAY);
-        advance(Duration.ofMillis(1_500));
+        advance(DRAIN_TIME.minus(READING_DELAY));
 
         assertThat(leaving).noneMatch(this::isUsed);
     }
@@ -131,20 +131,6 @@
         return steering.servers().stream().anyMatch(s -> s.name().equals(server));
     }
 
-    private static final class SteppedClock implements Clock {
-        private MonotonicTime now = MonotonicTime.ZERO;
-
-        @Override
-        public MonotonicTime monotonic() {
-            return now;
-        }
-
-        @Override
-        public Instant instant() {
-            return Instant.EPOCH;
-        }
-    }
-
     /** A long poll that the store holds. */
     private record Poll(long after, MonotonicTime end, MonoSink<RecordBatch> sink) {}
 
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -12,8 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.time.Clock;
-import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.edge.EdgeSettingsFixture;
 import org.lycheetray.edge.exchange.TrafficSteering;
 import reactor.core.publisher.Mono;
@@ -97,20 +94,6 @@
         return new SplittableRandom(1);
     }
 
-    private static final class ManualClock implements Clock {
-        private volatile MonotonicTime now = new MonotonicTime(0);
-
-        @Override
-        public MonotonicTime monotonic() {
-            return now;
-        }
-
-        @Override
-        public Instant instant() {
-            return Instant.EPOCH;
-        }
-    }
-
     /** Store that never answers long polls; counts those for operator records, and how many of them were cancelled. */
     private final class UnresponsiveStore implements ReadOnlyFleetStore {
         static final long VERSION = 5;
