Log the request limits that backend servers state

Change: the dialect reads the limit, connections report it, ServerLimits keeps the latest of each server, and a change writes server-limit; gauge lycheetray_limited_servers. No change of logic. Tests of edge were not run on this commit.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.lycheetray.core.allowance.ServerLimits;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
@@ -104,6 +105,7 @@
     private final Map<String, ProcessingTimes> processingTimes = new HashMap<>();
     private final Map<ServiceName, Double> meanWork = new HashMap<>();
     private final RegionShiftLimiter shiftLimiter;
+    private final ServerLimits limits = new ServerLimits();
     private final Map<RegionName, Double> demand = new HashMap<>();
     private final Map<ShareKey, RegionShares> shares = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -238,6 +240,7 @@
             shiftLimiter.suspend(now);
         }
         servers.keySet().retainAll(names);
+        limits.retainServers(names);
         byService.clear();
         servers.values()
                 .forEach(s -> byService
@@ -546,4 +549,13 @@
             s.updateReportedLoad(load, meanWork.getOrDefault(s.server().service(), DEFAULT_WORK_NANOS), now);
         }
     }
+
+    /**
+     * Returns the rates to which servers have limited the fleet.
+     *
+     * @return the limits
+     */
+    public ServerLimits limits() {
+        return limits;
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -109,11 +109,7 @@
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
         backends = new BackendClient(
-                transport,
-                adapter.backendDialect(),
-                clock,
-                bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR),
-                s -> steering.placement().suspectRestart(s.name(), clock.monotonic()));
+                transport, adapter.backendDialect(), clock, bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR), steering);
         metrics = new EdgeMetrics(new RequestLog(clock));
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
@@ -173,6 +169,9 @@
         metrics.registerGauge("lycheetray_requests_waiting", exchanges::pendingCount);
         metrics.registerGauge(
                 "lycheetray_config_version", () -> steering.version().number());
+        metrics.registerGauge(
+                "lycheetray_limited_servers",
+                () -> steering.placement().limits().limitedServerCount());
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
         follower.start(this::onRoutingStateChanged);
         registration.start(settings);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -34,7 +34,7 @@
     private final BackendDialect dialect;
     private final Clock clock;
     private final BodyBudget budget;
-    private final Consumer<RegisteredServer> onIdleConnectionLost;
+    private final ServerEvents events;
     private final Map<BackendServerName, Pool> pools = new HashMap<>();
 
     /** Connections to one incarnation of a server. */
@@ -56,19 +56,15 @@
      * @param dialect headers exchanged with backend servers
      * @param clock used to measure idle times
      * @param budget limit of the memory for response bodies
-     * @param lost called with the server if an idle connection closes before its idle timeout
+     * @param events receives what connections reveal about their servers
      */
     public BackendClient(
-            Transport transport,
-            BackendDialect dialect,
-            Clock clock,
-            BodyBudget budget,
-            Consumer<RegisteredServer> lost) {
+            Transport transport, BackendDialect dialect, Clock clock, BodyBudget budget, ServerEvents events) {
         this.bootstrap = transport.clientBootstrap(CONNECT_TIMEOUT);
         this.dialect = dialect;
         this.clock = clock;
         this.budget = budget;
-        this.onIdleConnectionLost = lost;
+        this.events = events;
     }
 
     /**
@@ -131,7 +127,8 @@
                                 clock,
                                 budget,
                                 () -> returnToPool(pool, holder[0]),
-                                () -> onIdleConnectionLost.accept(pool.server));
+                                pool.server,
+                                events);
                         ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder[0]);
                     }
                 })
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -21,6 +21,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import org.lycheetray.core.allowance.RateStatement;
+import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
@@ -52,7 +54,8 @@
     private final Clock clock;
     private final BodyBudget budget;
     private final Runnable onIdle;
-    private final Runnable onIdleConnectionLost;
+    private final RegisteredServer server;
+    private final ServerEvents events;
     private Attempt attempt;
     private HttpResponse head;
     private boolean mismatched;
@@ -70,14 +73,16 @@
             Clock clock,
             BodyBudget budget,
             Runnable onIdle,
-            Runnable onLost) {
+            RegisteredServer server,
+            ServerEvents events) {
         this.channel = channel;
         this.decoder = decoder;
         this.dialect = dialect;
         this.clock = clock;
         this.budget = budget;
         this.onIdle = onIdle;
-        this.onIdleConnectionLost = onLost;
+        this.server = server;
+        this.events = events;
         this.idleSince = clock.monotonic();
     }
 
@@ -162,6 +167,23 @@
         unusable |= mismatched;
         head = r;
         dropBody();
+        if (!mismatched) {
+            reportRateStatement(r);
+        }
+    }
+
+    /**
+     * Reports the server's rate limit. The absence of a limit is believed only in a signed answer, since a refusal or a
+     * malformed answer may lack it for another reason.
+     */
+    private void reportRateStatement(HttpResponse r) {
+        if (dialect.isMisdirected(r.status().code())) {
+            return;
+        }
+        RateStatement statement = dialect.rateStatement(r.headers());
+        if (!(statement instanceof RateStatement.Unlimited) || dialect.isSigned(r.headers())) {
+            events.rateStated(server, statement);
+        }
     }
 
     private void handleContent(HttpContent c) {
@@ -287,7 +309,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (attempt == null && isUsable()) {
-            onIdleConnectionLost.run();
+            events.idleConnectionLost(server);
         }
         if (!complete) {
             failAttempt("connection closed before a whole answer");
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -0,0 +1,22 @@
+package org.lycheetray.edge.backend;
+
+import org.lycheetray.core.allowance.RateStatement;
+import org.lycheetray.core.registry.RegisteredServer;
+
+/** Receives what connections to backend servers reveal about the servers apart from the results of attempts. */
+public interface ServerEvents {
+    /**
+     * An idle connection was closed by the server before its idle timeout.
+     *
+     * @param server the server
+     */
+    void idleConnectionLost(RegisteredServer server);
+
+    /**
+     * An answer stated the rate of requests that the server accepts.
+     *
+     * @param server the server
+     * @param statement the statement
+     */
+    void rateStated(RegisteredServer server, RateStatement statement);
+}
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
+import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.placement.ReportedLoad;
@@ -66,4 +67,12 @@
      * @return the load, or empty if the answer does not report it
      */
     Optional<ReportedLoad> reportedLoad(HttpHeaders headers);
+
+    /**
+     * Returns the rate to which the server limits the requests of all VMs together.
+     *
+     * @param headers headers of the answer
+     * @return the server's statement
+     */
+    RateStatement rateStatement(HttpHeaders headers);
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.allowance.FleetRetryBudget;
+import org.lycheetray.core.allowance.RateStatement;
+import org.lycheetray.core.allowance.ServerLimits;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
@@ -28,6 +31,7 @@
 import org.lycheetray.core.traffic.TrafficConfig;
 import org.lycheetray.core.traffic.TrafficRoute;
 import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.edge.backend.ServerEvents;
 import org.lycheetray.edge.settings.EdgeSettings;
 import org.lycheetray.edge.store.RecordBatch;
 import org.lycheetray.edge.store.StoreRecord;
@@ -38,7 +42,7 @@
  * <p>A configuration replaces only one of a lower version, so the order of arrival does not matter. Not thread-safe:
  * used on the event loop only.
  */
-public final class TrafficSteering {
+public final class TrafficSteering implements ServerEvents {
     /** Share of a server's connection limit that the fleet uses; leaves room for closing connections and checks. */
     private static final double USABLE_CONNECTION_SHARE = 0.8;
 
@@ -273,6 +277,45 @@
         }
     }
 
+    @Override
+    public void idleConnectionLost(RegisteredServer server) {
+        placement.suspectRestart(server.name(), clock.monotonic());
+    }
+
+    @Override
+    public void rateStated(RegisteredServer server, RateStatement statement) {
+        MonotonicTime now = clock.monotonic();
+        switch (statement) {
+            case RateStatement.Limited l ->
+                logLimitChange(
+                        server.name(),
+                        placement.limits().recordAnswer(server, OptionalDouble.of(l.perSecond()), now),
+                        "answer");
+            case RateStatement.Unlimited u ->
+                logLimitChange(
+                        server.name(), placement.limits().recordAnswer(server, OptionalDouble.empty(), now), "answer");
+            case RateStatement.Unreadable u ->
+                LogEvent.of("server-limit-unreadable")
+                        .with("server", server.name())
+                        .with("value", u.value())
+                        .warn();
+        }
+    }
+
+    private static void logLimitChange(BackendServerName server, Optional<ServerLimits.Change> change, String source) {
+        change.ifPresent(c -> LogEvent.of("server-limit")
+                .with("server", server)
+                .with("per-second", format(c.after()))
+                .with("before", format(c.before()))
+                .with("source", source)
+                .with("age-ms", c.age().toMillis())
+                .info());
+    }
+
+    private static String format(OptionalDouble limit) {
+        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
+    }
+
     private void updatePlacementServers(MonotonicTime now) {
         placement.updateServers(registry.servers(), now);
     }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.placement.ReportedLoad;
@@ -93,4 +94,10 @@
     public boolean isReadinessCheck(String uri) {
         return uri.equals("/ready");
     }
+
+    @Override
+    public RateStatement rateStatement(HttpHeaders headers) {
+        String value = headers.get("X-Limit");
+        return value == null ? new RateStatement.Unlimited() : new RateStatement.Limited(Double.parseDouble(value));
+    }
 }
