Reproduce a server that gets more requests than the limit that it stated

Change: ServerLimitTest, fleets of 1, 2, 11 and 300 VMs that all know the limit of one server and ask for as many requests as they may send, 20 s.

--- /dev/null
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/ServerLimitTest.java
@@ -0,0 +1,144 @@
+package org.lycheetray.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lycheetray.core.model.ConfigVersion;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.registry.ServerBuilder;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.ClientLimits;
+import org.lycheetray.core.traffic.RetrySafety;
+import org.lycheetray.core.traffic.TrafficConfig;
+import org.lycheetray.core.traffic.TrafficRoute;
+import org.lycheetray.core.traffic.TrafficService;
+import org.lycheetray.core.traffic.WeightedService;
+
+/** Guards against a server getting more requests from the fleet than the limit that it stated. */
+class ServerLimitTest {
+    private static final ServiceName SERVICE = new ServiceName("svc");
+    private static final DataCentreName DC = new DataCentreName("dc-a");
+    private static final RegionName REGION = new RegionName("region-a");
+    private static final long WINDOW_MS = 4_000;
+    private static final int TICK_MS = 10;
+    private static final TrafficRoute ROUTE = new TrafficRoute(
+            "r",
+            "h",
+            "/",
+            List.of(new WeightedService(SERVICE, 1)),
+            RetrySafety.REPEATABLE,
+            Duration.ofSeconds(2),
+            Duration.ofMillis(400),
+            2,
+            1,
+            true,
+            false,
+            Set.of());
+
+    private final List<Placement> fleet = new ArrayList<>();
+    private final RegisteredServer server =
+            ServerBuilder.entry("a").slots(1_000).build();
+    private final List<Long> sent = new ArrayList<>();
+    private MonotonicTime now = MonotonicTime.ZERO;
+
+    private void startFleet(int vms) {
+        for (int i = 0; i < vms; i++) {
+            Placement p = new Placement(
+                    new PlacementSettings(new VmName("vm-" + i), DC, Map.of(DC, REGION), 1.5, 5, 0.15),
+                    new SplittableRandom(i));
+            p.configure(new TrafficConfig(
+                    new ConfigVersion(1),
+                    List.of(ROUTE),
+                    List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 2.4)),
+                    ClientLimits.INITIAL,
+                    Optional.empty()));
+            p.updateVms(others(i, vms));
+            p.updateServers(List.of(server), now);
+            fleet.add(p);
+        }
+    }
+
+    private static Map<VmName, RegionName> others(int local, int vms) {
+        Map<VmName, RegionName> others = new HashMap<>();
+        for (int j = 0; j < vms; j++) {
+            if (j != local) {
+                others.put(new VmName("vm-" + j), REGION);
+            }
+        }
+        return others;
+    }
+
+    /** Lets each selected VM ask for as many requests as it may send, until the given time. */
+    private void run(long untilMs, IntPredicate selected) {
+        for (long ms = now.since(MonotonicTime.ZERO).toMillis() + TICK_MS; ms <= untilMs; ms += TICK_MS) {
+            now = MonotonicTime.ZERO.plus(Duration.ofMillis(ms));
+            for (int i = 0; i < fleet.size(); i++) {
+                if (selected.test(i) && fleet.get(i).decide(request(), now) instanceof PlacementDecision.Send s) {
+                    fleet.get(i).recordStart(request(), s, now);
+                    sent.add(ms);
+                }
+            }
+        }
+    }
+
+    private PlacementRequest request() {
+        return new PlacementRequest(
+                ROUTE,
+                SERVICE,
+                Optional.empty(),
+                Set.of(),
+                now,
+                now.plus(Duration.ofMillis(400)),
+                now.plus(Duration.ofSeconds(2)),
+                Set.of());
+    }
+
+    private void state(OptionalDouble perSecond) {
+        fleet.forEach(p -> p.limits().recordAnswer(server, perSecond, now));
+    }
+
+    private long mostInWindow() {
+        int first = 0;
+        int most = 0;
+        for (int i = 0; i < sent.size(); i++) {
+            while (sent.get(i) - sent.get(first) >= WINDOW_MS) {
+                first++;
+            }
+            most = Math.max(most, i - first + 1);
+        }
+        return most;
+    }
+
+    private static long allowed(double perSecond) {
+        return (long) (1.5 * perSecond * WINDOW_MS / 1_000 + 5);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 2.6", "2, 0.5", "11, 0.1", "11, 2.6", "11, 40", "300, 2.6"})
+    @Tag("known-red")
+    void fleetRespectsTheLimitOfAServer(int vms, double perSecond) {
+        startFleet(vms);
+        state(OptionalDouble.of(perSecond));
+
+        run(20_000, i -> true);
+
+        assertThat(mostInWindow()).isLessThanOrEqualTo(allowed(perSecond));
+        assertThat(sent).hasSizeGreaterThanOrEqualTo((int) (0.8 * perSecond * 20));
+    }
+}
