Log the era of the store

Change: each response's era is read; a change writes store-restored with the version of the answer and the one known before. No change of logic.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/RecordBatch.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/RecordBatch.java
@@ -8,10 +8,23 @@
  * @param records the records
  * @param version version of the store up to which the records are complete
  * @param lastChangeVersion version of the latest change among the records, or 0 if there is none
+ * @param era number of times that the store was restored from an older copy; versions of different eras are not
+ *     comparable
  */
-public record RecordBatch(List<StoreRecord> records, long version, long lastChangeVersion) {
+public record RecordBatch(List<StoreRecord> records, long version, long lastChangeVersion, long era) {
     /** Makes the batch immutable by copying the list. */
     public RecordBatch {
         records = List.copyOf(records);
     }
+
+    /**
+     * Creates a batch of a store that was never restored.
+     *
+     * @param records the records
+     * @param version version of the store up to which the records are complete
+     * @param lastChangeVersion version of the latest change among the records, or 0 if there is none
+     */
+    public RecordBatch(List<StoreRecord> records, long version, long lastChangeVersion) {
+        this(records, version, lastChangeVersion, 0);
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -62,6 +62,7 @@
     private final Map<Topic, Lag> lags = new EnumMap<>(Topic.class);
     private boolean stopped;
     private long lastServerChange;
+    private long era;
     private Runnable onChange = () -> {};
 
     /**
@@ -178,6 +179,10 @@
         }
         failures.remove(topic);
         outages.recordAnswer(clock.monotonic());
+        if (batch.era() != era) {
+            logRestore(topic, batch);
+            era = batch.era();
+        }
         if (lostTopics.remove(topic)) {
             LogEvent.of("store-regained")
                     .with("topic", topic)
@@ -200,6 +205,16 @@
         }
     }
 
+    private void logRestore(Topic topic, RecordBatch batch) {
+        LogEvent.of("store-restored")
+                .with("topic", topic)
+                .with("era", batch.era())
+                .with("before", era)
+                .with("version", batch.version())
+                .with("known", knownVersions.get(topic))
+                .info();
+    }
+
     private void apply(Topic topic, boolean complete, RecordBatch batch) {
         MonotonicTime now = clock.monotonic();
         switch (topic) {
