Register VMs again after the store was restored from a copy

Change: after a restore each VM writes its record again and reads the others', or removes it again if it is leaving. A view does not add a VM from a record that is no later than the incarnation that it saw shut down. Evidence: EdgePathTest.recordOfTheVmIsWrittenAgainAfterTheStoreWasRestored fails without the first change (no record within 20 s) and passes with it.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -39,6 +39,9 @@
      */
     private static final int MIN_VMS_FOR_RELAYS = 32;
 
+    /** Incarnation of a VM that shut down as planned, and the time of its removal. */
+    private record Departed(long incarnation, MonotonicTime removedAt) {}
+
     private static final class KnownVm {
         private FleetMember member;
         private long sequence;
@@ -55,6 +58,7 @@
     private final VmName localVm;
     private final Map<DataCentreName, RegionName> regions;
     private final Map<VmName, KnownVm> others = new HashMap<>();
+    private final Map<VmName, Departed> departed = new HashMap<>();
 
     /**
      * Creates a view without any other VMs.
@@ -68,7 +72,8 @@
     }
 
     /**
-     * Adds the VMs that are recorded in the store.
+     * Adds the VMs that are recorded in the store, except those that are known to have shut down: a store that was
+     * restored from an older copy lists them again.
      *
      * @param records the recorded VMs
      * @param now current time
@@ -76,7 +81,10 @@
     public void addRecordedVms(Collection<FleetMember> records, MonotonicTime now) {
         for (FleetMember m : records) {
             KnownVm k = others.get(m.vm());
-            if (!m.vm().equals(localVm) && (k == null || k.member.incarnation() < m.incarnation())) {
+            Departed d = departed.get(m.vm());
+            boolean newer = (k == null || k.member.incarnation() < m.incarnation())
+                    && (d == null || d.incarnation() < m.incarnation());
+            if (!m.vm().equals(localVm) && newer) {
                 others.put(m.vm(), new KnownVm(m, now));
             }
         }
@@ -115,9 +123,14 @@
      * @param now current time
      */
     public void removeExpired(MonotonicTime now) {
-        others.values()
-                .removeIf(k -> now.since(k.lastReportAt).compareTo(REMOVAL_TIMEOUT) > 0
-                        || (k.hasReported && !k.serving && isSilent(k, now)));
+        departed.values().removeIf(d -> now.since(d.removedAt()).compareTo(REMOVAL_TIMEOUT) > 0);
+        others.values().removeIf(k -> {
+            boolean left = k.hasReported && !k.serving && isSilent(k, now);
+            if (left) {
+                departed.put(k.member.vm(), new Departed(k.member.incarnation(), now));
+            }
+            return left || now.since(k.lastReportAt).compareTo(REMOVAL_TIMEOUT) > 0;
+        });
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
@@ -68,6 +68,18 @@
         assertThat(vmsForCaller(START)).hasSize(1);
     }
 
+    @Test
+    void vmThatHasShutDownIsNotAddedFromAnOutdatedRecord() {
+        view.applyReport(member("a", 5, DC_NEAR), 1, false, START);
+        MonotonicTime later = START.plus(FleetView.SILENCE_TIMEOUT.multipliedBy(2));
+        view.removeExpired(later);
+
+        view.addRecordedVms(List.of(member("a", 5, DC_NEAR)), later);
+        assertThat(view.names()).isEmpty();
+        view.addRecordedVms(List.of(member("a", 6, DC_NEAR)), later);
+        assertThat(view.names()).hasSize(1);
+    }
+
     @Test
     void vmIsRemovedSoonAfterPlannedShutdownAndLateAfterLoss() {
         view.applyReport(member("left", 1, DC_NEAR), 1, false, START);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -173,6 +173,7 @@
                 "lycheetray_limited_servers",
                 () -> steering.placement().limits().limitedServerCount());
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
+        follower.onRestore(registration::onStoreRestored);
         follower.start(this::onRoutingStateChanged);
         registration.start(settings);
         scheduleEvery(TICK_PERIOD, this::tick);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
@@ -36,6 +36,7 @@
     private final Clock clock;
     private Optional<FleetMember> localVm = Optional.empty();
     private Optional<ReportChannel> reportChannel = Optional.empty();
+    private boolean leaving;
 
     /**
      * Creates a registration; call {@link #start} to begin it.
@@ -145,9 +146,27 @@
         }
     }
 
+    /**
+     * Repeats the last write of the local VM, which a store that was restored from an older copy may have lost, and reads
+     * the records of the other VMs.
+     */
+    public void onStoreRestored() {
+        LogEvent.of("enrolment-repeated").with("leaving", leaving).info();
+        if (leaving) {
+            withdraw();
+        } else {
+            localVm.ifPresent(this::register);
+        }
+    }
+
     /** Reports to the other VMs that the local VM is leaving, and removes its record from the store. */
     public void leave() {
+        leaving = true;
         sendReport();
+        withdraw();
+    }
+
+    private void withdraw() {
         localVm.ifPresent(m -> call("withdraw", store.removeMember(m.vm()).thenReturn(m), x -> {}, () -> {}));
     }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -155,6 +155,21 @@
         store.write(Topic.SERVERS, new StoreRecord.ServerGone(new BackendServerName(name)));
     }
 
+    /** Waits until the store has the record of the edge's VM. */
+    void awaitRecordOfTheVm() throws InterruptedException {
+        long limit = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
+        while (store.memberCount() == 0) {
+            if (System.nanoTime() > limit) {
+                throw new IllegalStateException("no record of the VM within " + TIMEOUT_MS + " ms");
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    void restoreStoreWithoutVmRecords() {
+        store.restoreWithoutMembers();
+    }
+
     /** Starts the edge and waits until it reports readiness. */
     void awaitReady() throws IOException, InterruptedException {
         start();
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -397,4 +397,15 @@
         assertThat(refused.hasHeader("Retry-After")).isTrue();
         assertThat(first.requests()).hasSize(1);
     }
+
+    @Test
+    void recordOfTheVmIsWrittenAgainAfterTheStoreWasRestored() throws Exception {
+        startEdgeWith(first);
+        edge.awaitRecordOfTheVm();
+
+        edge.restoreStoreWithoutVmRecords();
+        edge.configure(2);
+
+        edge.awaitRecordOfTheVm();
+    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
@@ -24,6 +24,7 @@
     private final List<FleetMember> members = new ArrayList<>();
     private final Sinks.Empty<Void> closed = Sinks.empty();
     private long version;
+    private long era = 1;
 
     InMemoryFleetStore() {
         for (Topic t : Topic.values()) {
@@ -38,12 +39,22 @@
         }
     }
 
+    /** Loses the records of all VMs, and starts a new era. */
+    synchronized void restoreWithoutMembers() {
+        members.clear();
+        era++;
+    }
+
+    synchronized int memberCount() {
+        return members.size();
+    }
+
     private synchronized RecordBatch after(Topic topic, long from) {
         List<StoreRecord> records = history.get(topic).stream()
                 .filter(e -> e.version() > from)
                 .map(Entry::record)
                 .toList();
-        return new RecordBatch(records, version, records.isEmpty() ? 0 : version);
+        return new RecordBatch(records, version, records.isEmpty() ? 0 : version, era);
     }
 
     @Override
