Compute a VM's rank for a server's rate once per change of the fleet

Change: ranks are remembered until the fleet or the server changes. Ages in reports are not negative.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/allowance/RateShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/allowance/RateShares.java
@@ -1,5 +1,7 @@
 package org.lycheetray.core.allowance;
 
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.lycheetray.core.model.BackendServerName;
@@ -19,6 +21,7 @@
 public final class RateShares {
     private final VmName localVm;
     private final RegionName localRegion;
+    private final Map<BackendServerName, Integer> ranks = new HashMap<>();
     private Optional<Map<VmName, RegionName>> otherVms = Optional.empty();
 
     /**
@@ -65,7 +68,20 @@
      * @param others the other VMs, each with its region
      */
     public void updateVms(Map<VmName, RegionName> others) {
-        otherVms = Optional.of(Map.copyOf(others));
+        Map<VmName, RegionName> next = Map.copyOf(others);
+        if (!otherVms.equals(Optional.of(next))) {
+            otherVms = Optional.of(next);
+            ranks.clear();
+        }
+    }
+
+    /**
+     * Removes what is remembered about servers that no longer exist.
+     *
+     * @param present names of the registered servers
+     */
+    public void retainServers(Collection<BackendServerName> present) {
+        ranks.keySet().retainAll(present);
     }
 
     /**
@@ -90,7 +106,7 @@
             return Optional.empty();
         }
         int users = Math.clamp(maxUsers, 1, vmCount());
-        int rank = rank(server, region);
+        int rank = ranks.computeIfAbsent(server, s -> rank(s, region));
         return rank < users ? Optional.of(new Share(rank, users)) : Optional.empty();
     }
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -238,7 +238,7 @@
             shiftLimiter.suspend(now);
         }
         servers.keySet().retainAll(names);
-        serverRates.limits().retainServers(names);
+        serverRates.retainServers(names);
         byService.clear();
         servers.values()
                 .forEach(s -> byService
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
@@ -1,9 +1,11 @@
 package org.lycheetray.core.placement.internal;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import org.lycheetray.core.allowance.RateShares;
 import org.lycheetray.core.allowance.ServerLimits;
+import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.placement.PlacementSettings;
@@ -55,6 +57,16 @@
         shares.updateVms(others);
     }
 
+    /**
+     * Removes the state of servers that no longer exist.
+     *
+     * @param present names of the registered servers
+     */
+    public void retainServers(Collection<BackendServerName> present) {
+        limits.retainServers(present);
+        shares.retainServers(present);
+    }
+
     /**
      * Returns the limits that servers have stated.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
@@ -181,7 +181,7 @@
                 new BackendServerName(l.getServer()),
                 l.getIncarnation(),
                 l.isSetPerSecond() ? OptionalDouble.of(l.getPerSecond()) : OptionalDouble.empty(),
-                Duration.ofMillis(l.getAgeMillis()));
+                Duration.ofMillis(Math.max(0, l.getAgeMillis())));
     }
 
     private void handleDatagram(DatagramPacket p) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -71,13 +71,18 @@
     private final StoreOutageTracker outages = new StoreOutageTracker();
     private final Map<Topic, Disposable> pendingCalls = new EnumMap<>(Topic.class);
     private final Map<Topic, Lag> lags = new EnumMap<>(Topic.class);
+
+    /** Era of the store in which each topic was last read as a whole. */
+    private final Map<Topic, Long> topicEras = new EnumMap<>(Topic.class);
+
+    /** Topics that are read as a whole with the next call. */
+    private final Set<Topic> outdatedTopics = EnumSet.noneOf(Topic.class);
+
     private boolean stopped;
     private long lastServerChange;
     private OptionalLong era = OptionalLong.empty();
-    private final Map<Topic, Long> topicEras = new EnumMap<>(Topic.class);
-    private Runnable onRestore = () -> {};
     private boolean settling;
-    private final Set<Topic> outdatedTopics = EnumSet.noneOf(Topic.class);
+    private Runnable onRestore = () -> {};
     private Runnable onChange = () -> {};
 
     /**
@@ -98,6 +103,24 @@
         this.random = random;
     }
 
+    /**
+     * Sets an action that is run when the store was restored from an older copy, which may lack what this VM wrote.
+     *
+     * @param action the action
+     */
+    public void onRestore(Runnable action) {
+        onRestore = action;
+    }
+
+    /**
+     * Returns the era of the store.
+     *
+     * @return the era, or empty before the first read
+     */
+    public OptionalLong era() {
+        return era;
+    }
+
     /**
      * Starts reading all topics.
      *
@@ -156,24 +179,6 @@
                                 e -> loop.execute(() -> handleFailure(topic, sent, e))));
     }
 
-    /**
-     * Sets an action that is run when the store was restored from an older copy, which may lack what this VM wrote.
-     *
-     * @param action the action
-     */
-    public void onRestore(Runnable action) {
-        onRestore = action;
-    }
-
-    /**
-     * Returns the era of the store.
-     *
-     * @return the era, or empty before the first read
-     */
-    public OptionalLong era() {
-        return era;
-    }
-
     /**
      * Records how far another VM has read the backend servers' entries. If the VM has seen a later era of the store,
      * the local VM is behind with all topics.
