Read all topics at once when one shows that the store was restored

Found by reading the change again. Cause: each topic noticed the restore by its own next answer. Change: the first answer of a new era marks all topics as outdated and replaces their pending calls, as the end of the settling period already did. That a topic was never read, lost its history or is of an earlier era is now one state (outdatedTopics) in place of three (no known version, the era of each topic, a flag). store-restored thereby tells the known version also after a 410. Evidence: StoreRestoreTest.restoreThatOneTopicShowsIsReadAtOnceForTheOtherTopicWhoseCallHangs fails without the change (version 1, expected 2) and passes with it, as do the other tests of the follower, of the request path and of reports.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/StoreFollower.java
@@ -72,11 +72,8 @@
     private final Map<Topic, Disposable> pendingCalls = new EnumMap<>(Topic.class);
     private final Map<Topic, Lag> lags = new EnumMap<>(Topic.class);
 
-    /** Era of the store in which each topic was last read as a whole. */
-    private final Map<Topic, Long> topicEras = new EnumMap<>(Topic.class);
-
-    /** Topics that are read as a whole with the next call. */
-    private final Set<Topic> outdatedTopics = EnumSet.noneOf(Topic.class);
+    /** Topics that are read as a whole with the next call: none of their records were read yet, or those are outdated. */
+    private final Set<Topic> outdatedTopics = EnumSet.allOf(Topic.class);
 
     private boolean stopped;
     private long lastServerChange;
@@ -137,10 +134,10 @@
      * Returns the store version up to which a topic has been read.
      *
      * @param topic the topic
-     * @return the version, or {@link Long#MAX_VALUE} before the first read
+     * @return the version, or {@link Long#MAX_VALUE} until the topic has been read as a whole
      */
     public long knownVersion(Topic topic) {
-        return knownVersions.getOrDefault(topic, Long.MAX_VALUE);
+        return outdatedTopics.contains(topic) ? Long.MAX_VALUE : knownVersions.get(topic);
     }
 
     /**
@@ -161,21 +158,18 @@
         if (stopped) {
             return;
         }
-        if (outdatedTopics.remove(topic)) {
-            knownVersions.remove(topic);
-        }
-        Long version = knownVersions.get(topic);
+        boolean complete = outdatedTopics.contains(topic);
         Duration wait = failures.containsKey(topic) ? WAIT_AFTER_FAILURE : LONG_POLL_WAIT;
-        Mono<RecordBatch> call = version == null
+        Mono<RecordBatch> call = complete
                 ? store.readAll(topic).timeout(RESPONSE_TIMEOUT)
-                : store.awaitChanges(topic, version, wait).timeout(wait.plus(RESPONSE_TIMEOUT));
+                : store.awaitChanges(topic, knownVersions.get(topic), wait).timeout(wait.plus(RESPONSE_TIMEOUT));
         MonotonicTime sent = clock.monotonic();
         pendingCalls.put(
                 topic,
                 call.switchIfEmpty(Mono.error(() -> new StoreException(
                                 StoreException.Kind.UNKNOWN, "read", "the call completed without a response")))
                         .subscribe(
-                                r -> loop.execute(() -> handleResult(topic, version == null, r)),
+                                r -> loop.execute(() -> handleResult(topic, complete, r)),
                                 e -> loop.execute(() -> handleFailure(topic, sent, e))));
     }
 
@@ -258,12 +252,11 @@
                     .with("version", batch.version())
                     .info();
         }
-        if (!complete && topicEras.get(topic) != batch.era()) {
-            knownVersions.remove(topic);
+        if (!complete && outdatedTopics.contains(topic)) {
             readNext(topic);
             return;
         }
-        topicEras.put(topic, batch.era());
+        outdatedTopics.remove(topic);
         knownVersions.put(topic, batch.version());
         try {
             apply(topic, complete, batch);
@@ -296,15 +289,20 @@
         long restored = batch.era();
         long settled = (long) (RESTORE_SETTLING.toMillis() * (1 + SETTLING_JITTER * random.nextDouble()));
         var _ = loop.schedule(() -> finishSettling(restored), settled, TimeUnit.MILLISECONDS);
+        readAllAgain();
         onRestore.run();
     }
 
     /** Reads all records again, as the listings after the restore were not taken as complete. */
     private void finishSettling(long restoredEra) {
-        if (stopped || era.getAsLong() != restoredEra) {
-            return;
+        if (!stopped && era.getAsLong() == restoredEra) {
+            settling = false;
+            readAllAgain();
         }
-        settling = false;
+    }
+
+    /** Reads all topics as a whole. Replaces pending calls; where none is pending, the next one does so. */
+    private void readAllAgain() {
         for (Topic t : Topic.values()) {
             outdatedTopics.add(t);
             Disposable call = pendingCalls.get(t);
@@ -360,7 +358,7 @@
                     .with("topic", topic)
                     .with("version", knownVersions.get(topic))
                     .info();
-            knownVersions.remove(topic);
+            outdatedTopics.add(topic);
             readNext(topic);
             return;
         }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreRestoreTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreRestoreTest.java
@@ -179,6 +179,17 @@
         assertThat(follower.era()).hasValue(2);
     }
 
+    @Test
+    void restoreThatOneTopicShowsIsReadAtOnceForTheOtherTopicWhoseCallHangs() {
+        store.restoreTo(3, () -> {
+            store.loseCall(Topic.OPERATOR);
+            store.write(Topic.OPERATOR, config(2));
+        });
+        advance(Duration.ofSeconds(1));
+
+        assertThat(steering.version()).isEqualTo(new ConfigVersion(2));
+    }
+
     @Test
     void responseOfTheEarlierEraIsNotTaken() {
         store.restoreTo(3, () -> {});
@@ -238,15 +249,20 @@
 
         /** Loses all later changes, fails the held calls, and runs the given writes before it answers again. */
         void restoreTo(long earlier, Runnable writes) {
-            List<Poll> held = List.copyOf(polls.values());
-            polls.clear();
             log.removeIf(w -> w.version > earlier);
             version = earlier;
             era++;
             writes.run();
+            List<Poll> held = List.copyOf(polls.values());
+            polls.clear();
             held.forEach(p -> p.sink.error(new StoreException(StoreException.Kind.UNKNOWN, "read", "reset")));
         }
 
+        /** Never answers the held call of a topic. */
+        void loseCall(Topic topic) {
+            polls.remove(topic);
+        }
+
         /** Loses all later changes, and never answers the held calls. */
         void restoreSilentlyTo(long earlier) {
             polls.clear();
