Simplify the rates of single servers

The number of VMs with a share was computed in ServerRates and again in RateShares; a bucket kept a flag beside the time that implies it, and a start time that was never used; three places of Placement repeated which servers a request may use; two branches for an answer's limit differed in one value; two overloads named limit converted in opposite directions. Change: one piece for each. No change of behaviour.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/allowance/ServerRateBucket.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/allowance/ServerRateBucket.java
@@ -13,17 +13,7 @@
 
     private double tokens;
     private double perSecond;
-    private MonotonicTime refilledAt;
-    private boolean hasShare;
-
-    /**
-     * Creates an empty bucket without a share.
-     *
-     * @param now current time
-     */
-    public ServerRateBucket(MonotonicTime now) {
-        refilledAt = now;
-    }
+    private Optional<MonotonicTime> refilledAt = Optional.empty();
 
     /**
      * Adds the tokens that have accrued, and returns whether a request may be sent.
@@ -35,27 +25,26 @@
      */
     public boolean hasToken(double rate, Optional<RateShares.Share> share, MonotonicTime now) {
         if (share.isEmpty()) {
-            hasShare = false;
+            reset();
             return false;
         }
-        if (!hasShare) {
-            hasShare = true;
-            tokens = share.get().initialTokens();
-            refilledAt = now;
-        }
         perSecond = rate * share.get().fraction();
-        tokens = Math.min(1, tokens + perSecond * now.since(refilledAt).toNanos() / NANOS_PER_SECOND);
-        refilledAt = now;
+        tokens = refilledAt.isEmpty() ? share.get().initialTokens() : Math.min(1, tokens + accrued(now));
+        refilledAt = Optional.of(now);
         return tokens >= 1;
     }
 
+    private double accrued(MonotonicTime now) {
+        return perSecond * now.since(refilledAt.orElseThrow()).toNanos() / NANOS_PER_SECOND;
+    }
+
     /**
      * Returns the time until a token is available, as of the last call of {@link #hasToken}.
      *
      * @return the time, or empty if this VM has no share
      */
     public Optional<Duration> timeToToken() {
-        return hasShare && perSecond > 0
+        return refilledAt.isPresent() && perSecond > 0
                 ? Optional.of(Duration.ofNanos((long) (Math.max(0, 1 - tokens) / perSecond * NANOS_PER_SECOND)))
                 : Optional.empty();
     }
@@ -67,6 +56,6 @@
 
     /** Discards the tokens and the share, as the rate no longer applies. */
     public void reset() {
-        hasShare = false;
+        refilledAt = Optional.empty();
     }
 }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -291,9 +291,8 @@
     }
 
     private PlacementDecision noServer(PlacementRequest request, MonotonicTime now) {
-        boolean any = byService.getOrDefault(request.service(), List.of()).stream()
-                .anyMatch(s -> isAllowed(s, request)
-                        && !request.tried().contains(s.server().name()));
+        boolean any =
+                byService.getOrDefault(request.service(), List.of()).stream().anyMatch(s -> isEligible(s, request));
         if (!any) {
             return refuse("no-server", NO_SERVER_RETRY_AFTER);
         }
@@ -313,9 +312,7 @@
      */
     private Optional<Duration> timeToLimitedServer(PlacementRequest request, MonotonicTime now) {
         List<ServerState> allowed = byService.getOrDefault(request.service(), List.of()).stream()
-                .filter(s -> isAllowed(s, request)
-                        && !s.isPaused(now)
-                        && !request.tried().contains(s.server().name()))
+                .filter(s -> isEligible(s, request) && !s.isPaused(now))
                 .toList();
         if (allowed.isEmpty() || !allowed.stream().allMatch(s -> serverRates.isLimited(s, now))) {
             return Optional.empty();
@@ -330,7 +327,7 @@
         List<ServerState> all = byService.getOrDefault(request.service(), List.of());
         List<ServerState> allowed = new ArrayList<>(all.size());
         for (ServerState s : all) {
-            if (isAllowed(s, request) && !request.tried().contains(s.server().name())) {
+            if (isEligible(s, request)) {
                 allowed.add(s);
             }
         }
@@ -360,8 +357,9 @@
         return open.isEmpty() ? all : open;
     }
 
-    private boolean isAllowed(ServerState s, PlacementRequest request) {
-        return !s.server().draining()
+    private boolean isEligible(ServerState s, PlacementRequest request) {
+        return !request.tried().contains(s.server().name())
+                && !s.server().draining()
                 && !evacuated.contains(s.server().dataCentre())
                 && (request.regions().isEmpty() || request.regions().contains(s.region()));
     }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
@@ -108,14 +108,11 @@
         if (service.coldRequestsPerSecond() <= 0) {
             return true;
         }
-        int maxUsers = Math.max(1, (int) (COLD_VMS_SHARE * coldSlack));
-        int users = Math.min(maxUsers, shares.vmCount());
-        double maxRate = COLD_RATE_SHARE * (service.coldRequestsPerSecond() * coldOverage + coldSlack) - users;
-        return s.coldRate()
-                .hasToken(
-                        Math.clamp(maxRate, 0, service.coldRequestsPerSecond()),
-                        shares.share(s.server().name(), s.region(), maxUsers),
-                        now);
+        Optional<RateShares.Share> share =
+                shares.share(s.server().name(), s.region(), (int) (COLD_VMS_SHARE * coldSlack));
+        double tolerated = COLD_RATE_SHARE * (service.coldRequestsPerSecond() * coldOverage + coldSlack);
+        double atOnce = share.map(RateShares.Share::users).orElse(0);
+        return s.coldRate().hasToken(Math.clamp(tolerated - atOnce, 0, service.coldRequestsPerSecond()), share, now);
     }
 
     /**
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -49,8 +49,8 @@
     private RegisteredServer server;
     private final RegionName region;
     private final CachedObjects cachedObjects = new CachedObjects();
-    private final ServerRateBucket coldRate;
-    private final ServerRateBucket limitRate;
+    private final ServerRateBucket coldRate = new ServerRateBucket();
+    private final ServerRateBucket limitRate = new ServerRateBucket();
     private MonotonicTime coldUntil;
     private MonotonicTime suspectedColdUntil;
     private int inFlight;
@@ -73,8 +73,6 @@
     public ServerState(RegisteredServer server, RegionName region, MonotonicTime now) {
         this.server = server;
         this.region = region;
-        this.coldRate = new ServerRateBucket(now);
-        this.limitRate = new ServerRateBucket(now);
         this.coldUntil = now.plus(server.coldRemaining());
         this.suspectedColdUntil = now;
         this.otherLoadAt = now;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -292,16 +292,9 @@
 
     @Override
     public void rateStated(RegisteredServer server, RateStatement statement) {
-        MonotonicTime now = clock.monotonic();
         switch (statement) {
-            case RateStatement.Limited l ->
-                logLimitChange(
-                        server.name(),
-                        placement.limits().recordAnswer(server, OptionalDouble.of(l.perSecond()), now),
-                        "answer");
-            case RateStatement.Unlimited u ->
-                logLimitChange(
-                        server.name(), placement.limits().recordAnswer(server, OptionalDouble.empty(), now), "answer");
+            case RateStatement.Limited l -> recordLimit(server, OptionalDouble.of(l.perSecond()));
+            case RateStatement.Unlimited u -> recordLimit(server, OptionalDouble.empty());
             case RateStatement.Unreadable u ->
                 LogEvent.of("server-limit-unreadable")
                         .with("server", server.name())
@@ -310,6 +303,10 @@
         }
     }
 
+    private void recordLimit(RegisteredServer server, OptionalDouble perSecond) {
+        logLimitChange(server.name(), placement.limits().recordAnswer(server, perSecond, clock.monotonic()), "answer");
+    }
+
     /**
      * Applies the limit of a backend server that another VM has reported.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
@@ -161,7 +161,7 @@
         r.setServersVersion(follower.lastServerChange());
         follower.era().ifPresent(r::setStoreEra);
         List<ServerLimit> limits = steering.placement().limits().takeReports(allLimits, clock.monotonic()).stream()
-                .map(ReportChannel::limit)
+                .map(ReportChannel::encode)
                 .toList();
         if (!limits.isEmpty()) {
             r.setLimits(limits);
@@ -169,14 +169,14 @@
         return r;
     }
 
-    private static ServerLimit limit(ServerLimits.Report l) {
+    private static ServerLimit encode(ServerLimits.Report l) {
         ServerLimit limit =
                 new ServerLimit(l.server().value(), l.incarnation(), l.age().toMillis());
         l.perSecond().ifPresent(limit::setPerSecond);
         return limit;
     }
 
-    private static ServerLimits.Report limit(ServerLimit l) {
+    private static ServerLimits.Report decode(ServerLimit l) {
         return new ServerLimits.Report(
                 new BackendServerName(l.getServer()),
                 l.getIncarnation(),
@@ -229,7 +229,7 @@
             r.getAdmitted().forEach(t -> totals.put(new ClientAccountName(t.getAccount()), t.getAdmitted()));
             steering.quota().applyReport(vm, r.getIncarnation(), totals, r.isWhole(), now);
             if (r.isSetLimits()) {
-                r.getLimits().forEach(l -> steering.applyLimitReport(vm, limit(l)));
+                r.getLimits().forEach(l -> steering.applyLimitReport(vm, decode(l)));
             }
         } catch (IllegalArgumentException | NullPointerException e) {
             LogEvent.of("report-unreadable").with("cause", e).debug();
