--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/store/RecordBatch.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/store/RecordBatch.java
@@ -16,15 +16,4 @@
     public RecordBatch {
         records = List.copyOf(records);
     }
-
-    /**
-     * Creates a batch of a store that was never restored.
-     *
-     * @param records the records
-     * @param version version of the store up to which the records are complete
-     * @param lastChangeVersion version of the latest change among the records, or 0 if there is none
-     */
-    public RecordBatch(List<StoreRecord> records, long version, long lastChangeVersion) {
-        this(records, version, lastChangeVersion, 0);
-    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/store/StoreFollowerTest.java
@@ -100,7 +100,7 @@
 
         @Override
         public Mono<RecordBatch> readAll(Topic topic) {
-            return Mono.just(new RecordBatch(List.of(), VERSION, 0));
+            return Mono.just(new RecordBatch(List.of(), VERSION, 0, 0));
         }
 
         @Override
