Build placements and requests for tests in one place

Cause: reading the change again. ServerLimitTest and PlacementTest each built the same placement, route, request and list of other VMs. Change: PlacementFixture serves both. Assertions are unchanged.

--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/PlacementTest.java
@@ -1,84 +1,32 @@
 package org.lycheetray.core.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lycheetray.core.placement.PlacementFixture.COLD_PER_S;
+import static org.lycheetray.core.placement.PlacementFixture.DC_A;
+import static org.lycheetray.core.placement.PlacementFixture.DC_B;
+import static org.lycheetray.core.placement.PlacementFixture.REGION_B;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.model.ConfigVersion;
-import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
-import org.lycheetray.core.model.ServiceName;
-import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.registry.ServerBuilder;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.core.traffic.ClientLimits;
-import org.lycheetray.core.traffic.RetrySafety;
-import org.lycheetray.core.traffic.TrafficConfig;
-import org.lycheetray.core.traffic.TrafficRoute;
-import org.lycheetray.core.traffic.TrafficService;
-import org.lycheetray.core.traffic.WeightedService;
 
 class PlacementTest {
-    private static final ServiceName SERVICE = new ServiceName("svc");
-    private static final DataCentreName DC_A = new DataCentreName("dc-a");
-    private static final DataCentreName DC_B = new DataCentreName("dc-b");
-    private static final RegionName REGION_A = new RegionName("region-a");
-    private static final RegionName REGION_B = new RegionName("region-b");
-    private static final double COLD_PER_S = 2.4;
+    private static final long SEED = 7;
     private static final double MAX_COLD_REQUESTS_PER_S = COLD_PER_S * 1.5 + 5;
-    private static final TrafficRoute ROUTE = route(Set.of());
 
     private MonotonicTime now = MonotonicTime.ZERO;
-    private final Placement placement = placement("vm-0");
-
-    private static Placement placement(String vm) {
-        Placement p = new Placement(
-                new PlacementSettings(new VmName(vm), DC_A, Map.of(DC_A, REGION_A, DC_B, REGION_B), 1.5, 5, 0.15),
-                new SplittableRandom(7));
-        p.configure(new TrafficConfig(
-                new ConfigVersion(1),
-                List.of(ROUTE),
-                List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), COLD_PER_S)),
-                ClientLimits.INITIAL,
-                Optional.empty()));
-        return p;
-    }
-
-    private static TrafficRoute route(Set<RegionName> regions) {
-        return new TrafficRoute(
-                "r",
-                "h",
-                "/",
-                List.of(new WeightedService(SERVICE, 1)),
-                RetrySafety.REPEATABLE,
-                Duration.ofSeconds(2),
-                Duration.ofMillis(400),
-                2,
-                1,
-                true,
-                false,
-                regions);
-    }
+    private final Placement placement = PlacementFixture.placement(0, SEED);
 
     private PlacementRequest request(Set<RegionName> regions) {
-        return new PlacementRequest(
-                ROUTE,
-                SERVICE,
-                Optional.of("object"),
-                regions,
-                now,
-                now.plus(Duration.ofMillis(400)),
-                now.plus(Duration.ofSeconds(2)),
-                Set.of());
+        return PlacementFixture.request(Optional.of("object"), regions, now);
     }
 
     private void register(ServerBuilder... entries) {
@@ -165,14 +113,8 @@
                 .slots(100)
                 .build();
         for (int i = 0; i < vms; i++) {
-            Placement p = placement("vm-" + i);
-            Map<VmName, RegionName> others = new HashMap<>();
-            for (int j = 0; j < vms; j++) {
-                if (j != i) {
-                    others.put(new VmName("vm-" + j), REGION_A);
-                }
-            }
-            p.updateVms(others);
+            Placement p = PlacementFixture.placement(i, SEED);
+            p.updateVms(PlacementFixture.others(i, vms));
             p.updateServers(List.of(server), now);
             if (!reportedCold) {
                 p.suspectRestart(server.name(), now);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/ServerLimitTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/ServerLimitTest.java
@@ -4,52 +4,22 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.lycheetray.core.model.ConfigVersion;
-import org.lycheetray.core.model.DataCentreName;
-import org.lycheetray.core.model.RegionName;
-import org.lycheetray.core.model.ServiceName;
-import org.lycheetray.core.model.VmName;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.registry.ServerBuilder;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.core.traffic.ClientLimits;
-import org.lycheetray.core.traffic.RetrySafety;
-import org.lycheetray.core.traffic.TrafficConfig;
-import org.lycheetray.core.traffic.TrafficRoute;
-import org.lycheetray.core.traffic.TrafficService;
-import org.lycheetray.core.traffic.WeightedService;
 
 /** Guards against a server getting more requests from the fleet than the limit that it stated. */
 class ServerLimitTest {
-    private static final ServiceName SERVICE = new ServiceName("svc");
-    private static final DataCentreName DC = new DataCentreName("dc-a");
-    private static final RegionName REGION = new RegionName("region-a");
     private static final long WINDOW_MS = 4_000;
     private static final int TICK_MS = 10;
-    private static final TrafficRoute ROUTE = new TrafficRoute(
-            "r",
-            "h",
-            "/",
-            List.of(new WeightedService(SERVICE, 1)),
-            RetrySafety.REPEATABLE,
-            Duration.ofSeconds(2),
-            Duration.ofMillis(400),
-            2,
-            1,
-            true,
-            false,
-            Set.of());
 
     private final List<Placement> fleet = new ArrayList<>();
     private final RegisteredServer server =
@@ -59,31 +29,13 @@
 
     private void startFleet(int vms) {
         for (int i = 0; i < vms; i++) {
-            Placement p = new Placement(
-                    new PlacementSettings(new VmName("vm-" + i), DC, Map.of(DC, REGION), 1.5, 5, 0.15),
-                    new SplittableRandom(i));
-            p.configure(new TrafficConfig(
-                    new ConfigVersion(1),
-                    List.of(ROUTE),
-                    List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 2.4)),
-                    ClientLimits.INITIAL,
-                    Optional.empty()));
-            p.updateVms(others(i, vms));
+            Placement p = PlacementFixture.placement(i, i);
+            p.updateVms(PlacementFixture.others(i, vms));
             p.updateServers(List.of(server), now);
             fleet.add(p);
         }
     }
 
-    private static Map<VmName, RegionName> others(int local, int vms) {
-        Map<VmName, RegionName> others = new HashMap<>();
-        for (int j = 0; j < vms; j++) {
-            if (j != local) {
-                others.put(new VmName("vm-" + j), REGION);
-            }
-        }
-        return others;
-    }
-
     /** Lets each selected VM ask for as many requests as it may send, until the given time. */
     private void run(long untilMs, IntPredicate selected) {
         for (long ms = now.since(MonotonicTime.ZERO).toMillis() + TICK_MS; ms <= untilMs; ms += TICK_MS) {
@@ -98,15 +50,7 @@
     }
 
     private PlacementRequest request() {
-        return new PlacementRequest(
-                ROUTE,
-                SERVICE,
-                Optional.empty(),
-                Set.of(),
-                now,
-                now.plus(Duration.ofMillis(400)),
-                now.plus(Duration.ofSeconds(2)),
-                Set.of());
+        return PlacementFixture.request(Optional.empty(), Set.of(), now);
     }
 
     private void state(OptionalDouble perSecond) {
@@ -158,10 +102,10 @@
         startFleet(11);
         state(OptionalDouble.of(2.6));
         run(5_000, i -> true);
-        fleet.subList(0, 8).forEach(p -> p.updateVms(others(0, 8)));
+        fleet.subList(0, 8).forEach(p -> p.updateVms(PlacementFixture.others(0, 8)));
         run(10_000, i -> i < 8);
         for (int i = 0; i < 11; i++) {
-            fleet.get(i).updateVms(others(i, 11));
+            fleet.get(i).updateVms(PlacementFixture.others(i, 11));
         }
         run(15_000, i -> true);
 
@@ -182,9 +126,7 @@
     @Test
     void vmThatDoesNotKnowTheFleetYetDoesNotUseALimitedServer() {
         startFleet(1);
-        Placement fresh = new Placement(
-                new PlacementSettings(new VmName("vm-9"), DC, Map.of(DC, REGION), 1.5, 5, 0.15),
-                new SplittableRandom(9));
+        Placement fresh = PlacementFixture.placement(9, 9);
         fresh.updateServers(List.of(server), now);
         fleet.set(0, fresh);
         state(OptionalDouble.of(2.6));
