--- a/review/standins/review/BodiesExhaustMemory.java
+++ b/review/standins/review/BodiesExhaustMemory.java
@@ -18,21 +18,23 @@
     private static final int SLOTS = 6;
 
     /** Requests of all tenants on an ordinary day, for each machine. */
-    private static final int ORDERS_PER_S = Integer.getInteger("rate", 6);
+    private static final int REQUESTS_PER_S = 6;
 
     /** Usual requests of the tenant, for each machine, and how many times as many it sends. */
-    private static final int TENANT_ORDERS_PER_S = Integer.getInteger("tenant", 4);
+    private static final int TENANT_REQUESTS_PER_S = 4;
 
     private static final int HOT_FACTOR = 10;
     private static final double HOT_FROM_S = 4;
     private static final double HOT_FOR_S = 6.5;
-    private static final long WORK_MS = Integer.getInteger("work", 2_000);
+    private static final long WORK_MS = 2_000;
     private static final int CONNECTIONS = 500;
-    private static final int BODY_BYTES = Integer.getInteger("body", 1_400_000);
+    private static final int BODY_BYTES = 1_400_000;
+
     /** A client's link carries about 2 MB/s. */
     private static final int CHUNK_BYTES = 40 << 10;
 
     private static final long CHUNK_PAUSE_MS = 20;
+
     /** Timeout of the route, and the time after it in which an answer is due. */
     private static final double TIMEOUT_S = 6;
 
@@ -114,7 +116,7 @@
         for (double t = 0; t < LENGTH_S; ) {
             times.add(start + t);
             boolean hot = run.trouble() && t >= HOT_FROM_S && t < HOT_FROM_S + HOT_FOR_S;
-            t += 1.0 / (machines * (ORDERS_PER_S + (hot ? (HOT_FACTOR - 1) * TENANT_ORDERS_PER_S : 0)));
+            t += 1.0 / (machines * (REQUESTS_PER_S + (hot ? (HOT_FACTOR - 1) * TENANT_REQUESTS_PER_S : 0)));
         }
         return times;
     }
@@ -128,7 +130,6 @@
     }
 
     private static void send(Run run, Node n, Deque<Double> times, AtomicInteger next, Map<String, Integer> ends) {
-        byte[] body = BODY;
         Client c = null;
         while (true) {
             int number = next.getAndIncrement();
@@ -147,7 +148,7 @@
                 }
                 String head = Client.head("POST", Config.HOST, Config.RECORD + "2f", id, DEADLINE_MS, Config.KEY, BODY_BYTES);
                 c.write(head, new byte[0]);
-                upload(c, body);
+                upload(c, BODY);
                 whole = run.now();
                 Http.Message m = c.readOrFail();
                 end = "answered " + m.status();
--- a/review/standins/review/Instance.java
+++ b/review/standins/review/Instance.java
@@ -30,7 +30,6 @@
     private final ServerSocket listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean ended;
-    private volatile boolean draining;
     private long sequence;
 
     /** Decides how a request is run; returns the body of the answer, or null to break the connection. */
@@ -65,8 +64,7 @@
                 id,
                 "{\"address\":\"127.0.0.1:" + listener.getLocalPort() + "\",\"born\":" + born
                         + ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"" + zone
-                        + "\",\"slots\":" + slots + "},\"status\":{\"state\":\""
-                        + (draining ? "draining" : "ready") + "\",\"sequence\":" + sequence
+                        + "\",\"slots\":" + slots + "},\"status\":{\"state\":\"ready\",\"sequence\":" + sequence
                         + ",\"cold_remaining_ms\":0}}");
     }
 
@@ -158,10 +156,6 @@
         });
     }
 
-    boolean isEnded() {
-        return ended;
-    }
-
     @Override
     public void close() throws IOException {
         ended = true;
--- a/review/standins/review/Node.java
+++ b/review/standins/review/Node.java
@@ -111,10 +111,6 @@
         return process.isAlive();
     }
 
-    int exitStatus() {
-        return process.exitValue();
-    }
-
     boolean awaitExit(long ms) throws InterruptedException {
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
     }
@@ -137,10 +133,6 @@
         }
     }
 
-    long countLog(String word) throws IOException {
-        return Files.readAllLines(log).stream().filter(l -> l.contains(word)).count();
-    }
-
     @Override
     public void close() throws Exception {
         if (process != null) {
