Write the log lines of a planned stop

Cause: tinylog registers a shutdown hook of its own, which ends its writing thread while the hook of the process still closes the service; later events have no reader. Now the process ends logging itself, after the service has closed, and waits at most 1 s for an output that takes no more bytes. The same holds for a failed start, which exits at once.

--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Lycheetrayd.java
@@ -49,6 +49,7 @@
 
     private static void run(Settings settings) throws InterruptedException {
         Logging.configure(settings.logFormat(), settings.logLevel());
+        Logging.disableAutomaticShutdown();
         Daemon daemon = ProcessUtil.startOrExit(settings.vm(), () -> Daemon.create(settings, Clock.system()));
         ProcessUtil.registerShutdownHook(daemon::close);
         daemon.awaitStopped();
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/lifecycle/ProcessUtil.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/lifecycle/ProcessUtil.java
@@ -3,6 +3,7 @@
 import java.util.function.Supplier;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.log.Logging;
 
 /** Startup and graceful shutdown of a process. */
 public final class ProcessUtil {
@@ -27,21 +28,26 @@
                     .with("vm", vm)
                     .with("cause", e)
                     .error();
+            Logging.shutdown();
             System.exit(EXIT_FAILED);
             throw e;
         }
     }
 
     /**
-     * Registers a shutdown hook that closes the service and then halts the process with status 0. Without the hook, a
-     * process ended by a signal would exit with a non-zero status.
+     * Registers a shutdown hook that closes the service, writes the remaining log events and then halts the process with
+     * status 0. Without the hook, a process ended by a signal would exit with a non-zero status.
      *
      * @param close stops the service gracefully
      */
     public static void registerShutdownHook(Runnable close) {
         Thread stop = new Thread(
                 () -> {
-                    close.run();
+                    try {
+                        close.run();
+                    } finally {
+                        Logging.shutdown();
+                    }
                     Runtime.getRuntime().halt(0);
                 },
                 "stop");
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
@@ -51,6 +51,7 @@
             return;
         }
         Logging.configure(LogFormat.KEY_VALUE, "info");
+        Logging.disableAutomaticShutdown();
         EdgeMain main = new EdgeMain(file, overrides(args));
         Either<List<String>, EdgeSettings> settings = main.readSettings();
         if (settings.isLeft()) {
