Answer the requests left at the end of a planned stop

Cause: the stop closed the transport while exchanges were in progress and never ended them, so the replies that waited behind them in their connection were dropped.

Change: shortly before the end of the grace period each exchange gets a reply (503 if it was not sent, 502 otherwise), the replies behind it are written in order, and the stop waits until they are. Replies that did not reach their caller are logged and counted.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -1,5 +1,6 @@
 package org.lycheetray.edge;
 
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -71,12 +73,21 @@
      */
     private static final Duration LEAVING_PERIOD = Duration.ofMillis(2_600);
 
-    /** Fraction of the grace period after which requests still in progress are abandoned. */
-    private static final double GRACE_FRACTION = 0.92;
+    /** Fraction of the grace period after which requests still in progress are ended. */
+    private static final double REQUEST_FRACTION = 0.92;
+
+    /** Fraction of the grace period after which replies that were not delivered are given up. */
+    private static final double DELIVERY_FRACTION = 0.97;
 
     /** Period at which the planned stop checks whether requests are still in progress. */
     private static final Duration POLL_PERIOD = Duration.ofMillis(20);
 
+    /** Longest time for which the planned stop waits for the event loop in one step. */
+    private static final Duration STEP_TIMEOUT = Duration.ofMillis(200);
+
+    /** Result of a step of the planned stop that failed or is delayed. */
+    private static final int UNKNOWN = -1;
+
     private final EdgeSettings settings;
     private final EdgeAdapter adapter;
     private final Clock clock;
@@ -139,6 +150,7 @@
                 () -> steering.config().map(TrafficConfig::limits).orElse(ClientLimits.INITIAL),
                 () -> lifecycle.phase().compareTo(Phase.LEAVING) >= 0,
                 budget,
+                metrics,
                 clock);
     }
 
@@ -291,8 +303,8 @@
 
     /**
      * Stops as planned: withdraws this VM from look-ups, keeps serving callers whose look-up answers have not expired,
-     * completes the requests in progress, then closes. Requests still in progress at the end of the grace period are
-     * abandoned.
+     * completes the requests in progress, then closes. Shortly before the end of the grace period the requests still in
+     * progress get a reply, so that the answers that wait behind them on a connection are delivered too.
      */
     @Override
     public void close() {
@@ -300,50 +312,92 @@
             return;
         }
         MonotonicTime start = clock.monotonic();
-        MonotonicTime limit =
-                start.plus(Duration.ofNanos((long) (fleetLimits.gracePeriod().toNanos() * GRACE_FRACTION)));
+        MonotonicTime requestLimit = start.plus(graceFraction(REQUEST_FRACTION));
         MonotonicTime serveUntil = start.plus(LEAVING_PERIOD);
-        runOnLoop(() -> {
-            lifecycle.advance(Phase.LEAVING);
-            registration.leave();
-            LogEvent.of("leaving")
-                    .with("in-progress", exchanges.inProgressCount())
-                    .info();
-        });
-        await(serveUntil.isBefore(limit) ? serveUntil : limit, false);
-        runOnLoop(() -> {
-            lifecycle.advance(Phase.DRAINING);
-            exchanges.startRefusing();
-            callerListener.closeIdle();
-            LogEvent.of("draining")
-                    .with("in-progress", exchanges.inProgressCount())
-                    .info();
+        callOnLoop(this::startLeaving);
+        awaitTime(serveUntil.isBefore(requestLimit) ? serveUntil : requestLimit);
+        callOnLoop(this::startDraining);
+        awaitZero(exchanges::inProgressCount, requestLimit);
+        int ended = callOnLoop(this::endRequests);
+        int undelivered = awaitZero(callerListener::undeliveredCount, start.plus(graceFraction(DELIVERY_FRACTION)));
+        callOnLoop(() -> {
+            callerListener.closeForStop();
+            return 0;
         });
-        await(limit, true);
-        runOnLoop(callerListener::stopAccepting);
-        int abandoned = exchanges.inProgressCount();
         lifecycle.advance(Phase.STOPPED);
         follower.stop();
         closer.close();
         LogEvent.of("stopped")
-                .with("abandoned", abandoned)
+                .with("ended", ended)
+                .with("undelivered-connections", undelivered)
                 .with("took", clock.monotonic().since(start))
                 .info();
         stopped.countDown();
     }
 
-    private void runOnLoop(Runnable task) {
-        transport.eventLoop().submit(() -> runLoggingErrors(task)).awaitUninterruptibly(POLL_PERIOD.toMillis() * 10);
+    private Duration graceFraction(double fraction) {
+        return Duration.ofNanos((long) (fleetLimits.gracePeriod().toNanos() * fraction));
+    }
+
+    private int startLeaving() {
+        lifecycle.advance(Phase.LEAVING);
+        registration.leave();
+        LogEvent.of("leaving").with("in-progress", exchanges.inProgressCount()).info();
+        return exchanges.inProgressCount();
+    }
+
+    private int startDraining() {
+        lifecycle.advance(Phase.DRAINING);
+        exchanges.startRefusing();
+        callerListener.closeIdle();
+        LogEvent.of("draining").with("in-progress", exchanges.inProgressCount()).info();
+        return exchanges.inProgressCount();
+    }
+
+    /** Ends the requests that are still in progress; returns their number. */
+    private int endRequests() {
+        int ended = exchanges.endAll();
+        callerListener.stopAccepting();
+        return ended;
     }
 
-    private void await(MonotonicTime limit, boolean untilIdle) {
-        while (clock.monotonic().isBefore(limit) && !(untilIdle && exchanges.inProgressCount() == 0)) {
-            try {
-                Thread.sleep(POLL_PERIOD);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
+    /** Runs a step of the stop on the event loop; returns its result, or {@link #UNKNOWN} if it failed or is delayed. */
+    private int callOnLoop(Callable<Integer> step) {
+        Future<Integer> f = transport.eventLoop().submit(step);
+        if (!f.awaitUninterruptibly(STEP_TIMEOUT.toMillis())) {
+            LogEvent.of("stop-step-delayed")
+                    .with("waited-ms", STEP_TIMEOUT.toMillis())
+                    .warn();
+            return UNKNOWN;
+        }
+        if (!f.isSuccess()) {
+            LogEvent.of("task-failed").with("cause", f.cause()).error();
+            return UNKNOWN;
+        }
+        return f.getNow();
+    }
+
+    private void awaitTime(MonotonicTime limit) {
+        while (clock.monotonic().isBefore(limit) && pause()) {}
+    }
+
+    /** Waits until a count, taken on the event loop, is 0 or the time is over; returns the last count. */
+    private int awaitZero(Callable<Integer> count, MonotonicTime limit) {
+        int n = callOnLoop(count);
+        while (n != 0 && clock.monotonic().isBefore(limit) && pause()) {
+            n = callOnLoop(count);
+        }
+        return n;
+    }
+
+    /** Waits for a moment; returns false if the thread was interrupted. */
+    private static boolean pause() {
+        try {
+            Thread.sleep(POLL_PERIOD);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
         }
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.lycheetray.core.model.ClientAccountName;
@@ -10,10 +11,11 @@
 import org.lycheetray.daemon.metrics.HdrReservoir;
 import org.lycheetray.daemon.metrics.PrometheusTextFormat;
 import org.lycheetray.edge.exchange.ExchangeObserver;
+import org.lycheetray.edge.front.ReplyObserver;
 import org.lycheetray.edge.log.RequestLog;
 
 /** Records metrics and a log line for each finished request. Not thread-safe: use only on the event loop. */
-final class EdgeMetrics implements ExchangeObserver {
+final class EdgeMetrics implements ExchangeObserver, ReplyObserver {
     private final MetricRegistry registry = new MetricRegistry();
     private final RequestLog log;
 
@@ -49,4 +51,15 @@
                 .with("ms", r.duration().toMillis())
                 .with("attempts", r.attempts()));
     }
+
+    @Override
+    public void replyNotDelivered(String requestId, int status, Cause cause) {
+        String reason = cause.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        registry.counter("lycheetray_replies_not_delivered_total|cause=" + reason)
+                .inc();
+        log.write(LogEvent.of("reply-not-delivered")
+                .with("id", requestId)
+                .with("status", status)
+                .with("cause", reason));
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -120,6 +120,15 @@
         return sequence;
     }
 
+    /**
+     * Returns the identifier that the caller assigned to the request.
+     *
+     * @return the identifier, empty if the request has none
+     */
+    public String id() {
+        return id;
+    }
+
     void start() {
         Optional<TrafficConfig> config = context.steering().config();
         if (exchanges.isRefusing()) {
@@ -397,6 +406,15 @@
     }
 
     private void deadlineReached() {
+        endWithoutAnswer(Outcome.TIMED_OUT, () -> refuse(Outcome.NO_ROOM, MIN_RETRY_AFTER));
+    }
+
+    /** Ends the exchange with a reply because the VM stops. */
+    void endForStop() {
+        endWithoutAnswer(Outcome.INTERRUPTED, () -> refuse(Outcome.LEAVING, LEAVING_RETRY_AFTER));
+    }
+
+    private void endWithoutAnswer(Outcome mayHaveRunOutcome, Runnable ifNotSent) {
         if (finished) {
             return;
         }
@@ -405,9 +423,9 @@
         if (fallbackAnswer.isPresent()) {
             deliver(fallbackAnswer.get());
         } else if (sent || mayHaveRun) {
-            finish(Outcome.TIMED_OUT, Optional.empty());
+            finish(mayHaveRunOutcome, Optional.empty());
         } else {
-            refuse(Outcome.NO_ROOM, MIN_RETRY_AFTER);
+            ifNotSent.run();
         }
     }
 
@@ -472,7 +490,7 @@
         cancelRunningAttempts();
         cancel(deadlineTimer);
         cancel(hedgeTimer);
-        exchanges.exchangeFinished();
+        exchanges.exchangeFinished(this);
         context.observer()
                 .exchangeFinished(new ExchangeObserver.FinishedExchange(
                         id,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -1,5 +1,8 @@
 package org.lycheetray.edge.exchange;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.lycheetray.core.model.ServiceName;
 
@@ -11,8 +14,8 @@
 public final class Exchanges {
     private final ExchangeContext context;
     private final PendingRequests pending = new PendingRequests();
+    private final Set<Exchange> inProgress = new LinkedHashSet<>();
     private long sequence;
-    private int inProgress;
     private boolean refusing;
     private boolean retryScheduled;
 
@@ -33,8 +36,8 @@
      * @return the exchange
      */
     public Exchange start(IncomingRequest request, Consumer<Reply> responder) {
-        inProgress++;
         Exchange e = new Exchange(this, context, request, sequence++, responder);
+        inProgress.add(e);
         e.start();
         return e;
     }
@@ -50,7 +53,19 @@
      * @return number of exchanges that have not finished
      */
     public int inProgressCount() {
-        return inProgress;
+        return inProgress.size();
+    }
+
+    /**
+     * Ends all exchanges in progress with a reply, because the VM stops: requests that were not sent are refused as not
+     * run, the others get a reply that promises nothing.
+     *
+     * @return number of exchanges that were in progress
+     */
+    public int endAll() {
+        List<Exchange> remaining = List.copyOf(inProgress);
+        remaining.forEach(Exchange::endForStop);
+        return remaining.size();
     }
 
     /**
@@ -88,7 +103,7 @@
         return pending;
     }
 
-    void exchangeFinished() {
-        inProgress--;
+    void exchangeFinished(Exchange e) {
+        inProgress.remove(e);
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Outcome.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Outcome.java
@@ -18,6 +18,8 @@
     NO_ROOM(503, true),
     /** The request may have run, but no valid answer arrived. */
     UNKNOWN(502, false),
+    /** The VM stopped before an answer arrived; the request may have run. */
+    INTERRUPTED(502, false),
     /** The deadline has passed; the request may have run. */
     TIMED_OUT(504, false);
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -50,7 +50,9 @@
     private int reservedBytes;
     private MonotonicTime lastUsedAt;
     private Optional<MonotonicTime> headStartedAt = Optional.empty();
+    private int repliesBeingWritten;
     private boolean closing;
+    private ReplyObserver.Cause closeCause = ReplyObserver.Cause.CALLER_GONE;
 
     /** A request whose reply has not been sent. */
     private static final class PipelinedRequest {
@@ -59,6 +61,10 @@
         private Exchange exchange;
         private Reply reply;
 
+        String id() {
+            return exchange == null ? "" : exchange.id();
+        }
+
         PipelinedRequest(HttpMethod method, boolean keepAlive) {
             this.method = method;
             this.keepAlive = keepAlive;
@@ -184,10 +190,17 @@
                 content,
                 headers,
                 EmptyHttpHeaders.INSTANCE));
+        repliesBeingWritten++;
+        var _ = f.addListener(done -> {
+            repliesBeingWritten--;
+            if (!done.isSuccess()) {
+                context.observer().replyNotDelivered(pipelined.id(), reply.status(), closeCause);
+            }
+        });
         lastUsedAt = context.clock().monotonic();
         if (last) {
             closing = true;
-            cancelExchanges();
+            cancelExchanges(ReplyObserver.Cause.CONNECTION_CLOSED);
             var _ = f.addListener(ChannelFutureListener.CLOSE);
         }
     }
@@ -214,8 +227,11 @@
         handleReply(pipelined, new Reply(status.code(), new DefaultHttpHeaders(), Body.EMPTY));
     }
 
-    private void cancelExchanges() {
+    private void cancelExchanges(ReplyObserver.Cause cause) {
         pipelinedRequests.forEach(s -> {
+            if (s.reply != null) {
+                context.observer().replyNotDelivered(s.id(), s.reply.status(), cause);
+            }
             if (s.exchange != null) {
                 s.exchange.callerDisconnected();
             }
@@ -249,10 +265,22 @@
         }
     }
 
+    /** Returns whether a reply waits for an earlier one, or has not been written completely. */
+    boolean hasUndeliveredReply() {
+        return repliesBeingWritten > 0 || pipelinedRequests.stream().anyMatch(s -> s.reply != null);
+    }
+
+    /** Closes the connection because the VM stops; replies that were not delivered are lost. */
+    void closeForStop() {
+        closeCause = ReplyObserver.Cause.STOPPED;
+        closing = true;
+        var _ = channel.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
-        cancelExchanges();
+        cancelExchanges(closeCause);
         ctx.fireChannelInactive();
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
@@ -14,7 +14,13 @@
  * @param limits supplies the limits in force
  * @param leaving returns true once connections must be closed after the requests in progress
  * @param budget limit of the memory for request bodies
+ * @param observer receives the replies that were not delivered
  * @param clock source of the current time
  */
 public record CallerConnectionContext(
-        Exchanges exchanges, Supplier<ClientLimits> limits, BooleanSupplier leaving, BodyBudget budget, Clock clock) {}
+        Exchanges exchanges,
+        Supplier<ClientLimits> limits,
+        BooleanSupplier leaving,
+        BodyBudget budget,
+        ReplyObserver observer,
+        Clock clock) {}
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
@@ -83,6 +83,22 @@
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Returns the number of connections with replies that have not been written completely.
+     *
+     * @return number of connections
+     */
+    public int undeliveredCount() {
+        return (int) connections.stream()
+                .filter(CallerConnection::hasUndeliveredReply)
+                .count();
+    }
+
+    /** Closes all connections because the VM stops; replies that were not delivered are lost. */
+    public void closeForStop() {
+        new ArrayList<>(connections).forEach(CallerConnection::closeForStop);
+    }
+
     @Override
     public void close() {
         var _ = listener.close();
