Refuse requests that have crashed backend servers

Requests of others that ran on these servers were lost with them.

Cause: a lost connection counted as chance, and nothing remembered what was running.

Change: a VM that loses a connection checks by another connection whether the server has crashed. Crashes are counted by request for the whole fleet, told by the reports between VMs; from two crashes on a request is not repeated, from three on it is refused as not run for 30 s, doubled with each further crash. An answer clears it. Memory and messages are bounded.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/RequestDigest.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/RequestDigest.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.regex.Pattern;
 
 /**
  * Digest of a request's method, host, target and body; a resent request has the same digest.
@@ -11,6 +12,8 @@
  * @param hex SHA-256 in lower-case hexadecimal
  */
 public record RequestDigest(String hex) {
+    private static final Pattern SHA_256 = Pattern.compile("[0-9a-f]{64}");
+
     /**
      * Computes the digest of a request.
      *
@@ -29,6 +32,20 @@
         return new RequestDigest(HexFormat.of().formatHex(digest.digest(body)));
     }
 
+    /**
+     * Parses a digest that another VM has sent.
+     *
+     * @param hex SHA-256 in lower-case hexadecimal
+     * @return the digest
+     * @throws IllegalArgumentException if the text is no SHA-256 digest
+     */
+    public static RequestDigest parse(String hex) {
+        if (!SHA_256.matcher(hex).matches()) {
+            throw new IllegalArgumentException("not a SHA-256 digest: " + hex);
+        }
+        return new RequestDigest(hex);
+    }
+
     static String hexOf(String text) {
         return HexFormat.of().formatHex(sha256().digest(text.getBytes(StandardCharsets.UTF_8)));
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -184,6 +184,10 @@
         metrics.registerGauge(
                 "lycheetray_limited_servers",
                 () -> steering.placement().limits().limitedServerCount());
+        metrics.registerGauge(
+                "lycheetray_suspect_requests", () -> steering.suspects().suspectCount());
+        metrics.registerGauge(
+                "lycheetray_quarantined_requests", () -> steering.suspects().quarantinedCount());
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
         follower.onRestore(registration::onStoreRestored);
         follower.start(this::onRoutingStateChanged);
@@ -220,6 +224,7 @@
     private void sweep() {
         callerListener.closeTimedOut(clock.monotonic());
         registration.removeExpired();
+        steering.suspects().removeExpired(clock.monotonic());
     }
 
     private void onRoutingStateChanged() {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
@@ -37,6 +37,7 @@
      * The request may have run.
      *
      * @param cause description of the failure, for the log
+     * @param connectionLost true if the connection ended before a whole answer, as it does when the server crashes
      */
-    record Unknown(String cause) implements AttemptResult {}
+    record Unknown(String cause, boolean connectionLost) implements AttemptResult {}
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -4,7 +4,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -13,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.registry.RegisteredServer;
@@ -112,35 +115,76 @@
     }
 
     private void connect(Pool pool, Attempt attempt) {
+        NewConnection c = openConnection(pool);
+        attempt.onCancel(() -> {
+            var _ = c.channel().close();
+        });
+        var _ = c.connected()
+                .addListener(
+                        done -> handleConnected(c.connected(), c.connection().get(), pool, attempt));
+    }
+
+    /** A connection that is being established; its handler is set once the channel is initialized. */
+    private record NewConnection(ChannelFuture connected, AtomicReference<BackendConnection> connection) {
+        Channel channel() {
+            return connected.channel();
+        }
+    }
+
+    private NewConnection openConnection(Pool pool) {
         pool.open++;
-        BackendConnection[] holder = new BackendConnection[1];
+        AtomicReference<BackendConnection> holder = new AtomicReference<>();
         ChannelFuture f = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ResponseDecoder decoder = new ResponseDecoder();
-                        holder[0] = new BackendConnection(
+                        holder.set(new BackendConnection(
                                 ch,
                                 decoder,
                                 dialect,
                                 clock,
                                 budget,
-                                () -> returnToPool(pool, holder[0]),
+                                () -> returnToPool(pool, holder.get()),
                                 pool.server,
-                                events);
-                        ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder[0]);
+                                events));
+                        ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder.get());
                     }
                 })
                 .connect(pool.server.endpoint().host(), pool.server.endpoint().port());
         var _ = f.channel().closeFuture().addListener(c -> {
             pool.open--;
-            pool.idle.remove(holder[0]);
+            pool.idle.remove(holder.get());
         });
-        attempt.onCancel(() -> {
-            var _ = f.channel().close();
+        return new NewConnection(f, holder);
+    }
+
+    /**
+     * Tells a crash of a server from the loss of a connection to it, by opening another connection. If the server
+     * accepts it, the connection is kept for the next request.
+     *
+     * @param server the server to which a connection was lost
+     * @param callback called with true if the server refuses connections or a later incarnation has taken its place
+     */
+    public void checkCrashed(RegisteredServer server, Consumer<Boolean> callback) {
+        Pool pool = pools.get(server.name());
+        if (pool == null || pool.server.incarnation() != server.incarnation()) {
+            callback.accept(pool != null && pool.server.incarnation() > server.incarnation());
+            return;
+        }
+        NewConnection c = openConnection(pool);
+        var _ = c.connected().addListener(done -> {
+            if (done.isSuccess()) {
+                returnToPool(pool, c.connection().get());
+            }
+            callback.accept(isRefused(done.cause()));
         });
-        var _ = f.addListener(done -> handleConnected(f, holder[0], pool, attempt));
+    }
+
+    /** Returns whether a connection was refused, which a time-out or an unreachable network does not show. */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 
     private void handleConnected(ChannelFuture f, BackendConnection connection, Pool pool, Attempt attempt) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -118,7 +118,7 @@
                         EmptyHttpHeaders.INSTANCE))
                 .addListener(f -> {
                     if (!f.isSuccess()) {
-                        failAttempt("write failed: " + f.cause());
+                        loseConnection("write failed: " + f.cause());
                     }
                 });
     }
@@ -216,7 +216,7 @@
             return;
         }
         if (connectionReset) {
-            failAttempt("connection reset");
+            loseConnection("connection reset");
             return;
         }
         complete = true;
@@ -241,7 +241,7 @@
             return new AttemptResult.NotRun(AttemptResult.NotRunReason.SHED);
         }
         if (h.contains(HttpHeaderNames.CONTENT_ENCODING)) {
-            return new AttemptResult.Unknown("response has a Content-Encoding that was not requested");
+            return new AttemptResult.Unknown("response has a Content-Encoding that was not requested", false);
         }
         return new AttemptResult.Answer(status, h, new Body(body.toByteArray()));
     }
@@ -290,19 +290,27 @@
     }
 
     private void failAttempt(String cause) {
+        endAttempt(new AttemptResult.Unknown(cause, false));
+    }
+
+    private void loseConnection(String cause) {
+        endAttempt(new AttemptResult.Unknown(cause, true));
+    }
+
+    private void endAttempt(AttemptResult.Unknown result) {
         unusable = true;
         dropBody();
         Attempt a = attempt;
         attempt = null;
         if (a != null && !a.isDone()) {
-            a.complete(new AttemptResult.Unknown(cause));
+            a.complete(result);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         connectionReset |= cause instanceof IOException;
-        failAttempt(String.valueOf(cause.getMessage()));
+        endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), connectionReset));
         var _ = ctx.close();
     }
 
@@ -312,7 +320,7 @@
             events.idleConnectionLost(server);
         }
         if (!complete) {
-            failAttempt("connection closed before a whole answer");
+            loseConnection("connection closed before a whole answer");
         }
         ctx.fireChannelInactive();
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -25,6 +25,8 @@
 import org.lycheetray.core.placement.PlacementRequest;
 import org.lycheetray.core.quota.QuotaDecision;
 import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.suspect.RequestFingerprint;
+import org.lycheetray.core.suspect.SuspectVerdict;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.core.traffic.AccountPolicy;
 import org.lycheetray.core.traffic.TrafficConfig;
@@ -77,12 +79,14 @@
     private Optional<TrafficRoute> route = Optional.empty();
     private Optional<AccountPolicy> account = Optional.empty();
     private Optional<ServiceName> service = Optional.empty();
+    private RequestFingerprint fingerprint;
     private PlacementRequest placement;
     private MonotonicTime deadline;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> hedgeTimer;
     private boolean quotaCharged;
     private boolean pending;
+    private boolean trial;
     private boolean finished;
     private int attemptCount;
     private boolean mayHaveRun;
@@ -156,6 +160,15 @@
                 return;
             }
         }
+        fingerprint = new RequestFingerprint(
+                request.method().name(),
+                request.headers().get(HttpHeaderNames.HOST, ""),
+                request.uri(),
+                account.map(AccountPolicy::name),
+                request.body().bytes());
+        if (refuseIfQuarantined()) {
+            return;
+        }
         if (account.isPresent()) {
             QuotaDecision d = context.steering().quota().admit(account.get(), now());
             if (d instanceof QuotaDecision.OverRate o) {
@@ -168,6 +181,28 @@
         place();
     }
 
+    /** Refuses the request if requests like it have crashed backend servers; returns whether it was refused. */
+    private boolean refuseIfQuarantined() {
+        SuspectVerdict v = trial
+                ? new SuspectVerdict.Unsuspected()
+                : context.steering().suspects().admit(fingerprint, now());
+        return switch (v) {
+            case SuspectVerdict.Quarantined q -> {
+                removeFromPending();
+                appendToAttemptLog("quarantined crashes=" + q.crashes());
+                endUnplaced(Outcome.QUARANTINED, q.remaining());
+                yield true;
+            }
+            case SuspectVerdict.Trial t -> {
+                trial = true;
+                appendToAttemptLog("trial crashes=" + t.crashes());
+                yield false;
+            }
+            case SuspectVerdict.NoRepeat n -> false;
+            case SuspectVerdict.Unsuspected u -> false;
+        };
+    }
+
     private void preparePlacement(TrafficRoute r) {
         Duration callerTimeout = context.callers().timeout(request.headers()).orElse(r.timeout());
         deadline = request.received().plus(callerTimeout.compareTo(r.timeout()) < 0 ? callerTimeout : r.timeout());
@@ -199,7 +234,7 @@
     }
 
     void retryPlacement() {
-        if (!finished && pending) {
+        if (!finished && pending && !refuseIfQuarantined()) {
             place();
         }
     }
@@ -220,7 +255,7 @@
             case PlacementDecision.Refuse r -> {
                 removeFromPending();
                 appendToAttemptLog(r.reason());
-                finishWithoutServer(r.retryAfter());
+                endUnplaced(Outcome.NO_ROOM, r.retryAfter());
             }
         }
     }
@@ -232,13 +267,14 @@
         }
     }
 
-    private void finishWithoutServer(Duration retryAfter) {
+    /** Ends the exchange when no further server may be tried; the refusal is used only if the request has not run. */
+    private void endUnplaced(Outcome refusal, Duration retryAfter) {
         if (fallbackAnswer.isPresent()) {
             deliver(fallbackAnswer.get());
         } else if (mayHaveRun) {
             finish(Outcome.UNKNOWN, Optional.empty());
         } else {
-            refuse(Outcome.NO_ROOM, retryAfter);
+            refuse(refusal, retryAfter);
         }
     }
 
@@ -278,7 +314,8 @@
         if (finished
                 || runningAttempts.size() != 1
                 || !runningAttempts.contains(r)
-                || attemptCount >= placement.route().maxAttempts()) {
+                || attemptCount >= placement.route().maxAttempts()
+                || !mayRepeat()) {
             return;
         }
         if (context.steering().placement().decide(placement, now()) instanceof PlacementDecision.Send s
@@ -317,6 +354,9 @@
                     .ifPresent(l -> context.steering().placement().recordReportedLoad(send.name(), l, now));
         }
         context.steering().placement().recordEnd(placement, send, attemptOutcome(result, took), now);
+        if (result instanceof AttemptResult.Unknown u && u.connectionLost()) {
+            exchanges.crashes().recordLostConnection(send.server(), () -> fingerprint);
+        }
         exchanges.scheduleRetryPending();
         if (finished) {
             return;
@@ -326,7 +366,7 @@
             case AttemptResult.NotRun n -> retryNotRun(n.reason() != AttemptResult.NotRunReason.UNREACHABLE);
             case AttemptResult.Unknown u -> {
                 mayHaveRun = true;
-                retryIfIdempotentOrElse(() -> finishWithoutServer(MIN_RETRY_AFTER));
+                retryIfIdempotentOrElse(() -> endUnplaced(Outcome.NO_ROOM, MIN_RETRY_AFTER));
             }
         }
     }
@@ -356,6 +396,9 @@
     private void handleAnswer(AttemptResult.Answer a) {
         boolean success = a.status() / 100 == 2;
         boolean signed = context.servers().isSigned(a.headers());
+        if (signed && a.status() < 500) {
+            context.steering().recordRequestAnswered(fingerprint);
+        }
         if (success && !signed) {
             mayHaveRun = true;
             retryIfIdempotentOrElse(() -> finish(Outcome.UNKNOWN, Optional.empty()));
@@ -394,17 +437,26 @@
             if (canRetry(reachedServer)) {
                 place();
             } else {
-                finishWithoutServer(MIN_RETRY_AFTER);
+                endUnplaced(Outcome.NO_ROOM, MIN_RETRY_AFTER);
             }
         }
     }
 
     private boolean canRetry(boolean reachedServer) {
+        if (reachedServer && !mayRepeat()) {
+            appendToAttemptLog("not-repeated");
+            return false;
+        }
         return attemptCount < placement.route().maxAttempts()
                 && now().isBefore(deadline)
                 && (!reachedServer || context.steering().retryBudget().tryAcquireRetry(placement.service(), now()));
     }
 
+    /** Returns whether the request may be sent to a further server although one may have begun to run it. */
+    private boolean mayRepeat() {
+        return context.steering().suspects().mayRepeat(fingerprint);
+    }
+
     private void deadlineReached() {
         endWithoutAnswer(Outcome.TIMED_OUT, () -> refuse(Outcome.NO_ROOM, MIN_RETRY_AFTER));
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -14,6 +14,7 @@
 public final class Exchanges {
     private final ExchangeContext context;
     private final PendingRequests pending = new PendingRequests();
+    private final CrashDetector crashes;
     private final Set<Exchange> inProgress = new LinkedHashSet<>();
     private long sequence;
     private boolean refusing;
@@ -26,6 +27,7 @@
      */
     public Exchanges(ExchangeContext context) {
         this.context = context;
+        this.crashes = new CrashDetector(context.backends()::checkCrashed, context.steering()::recordServerCrash);
     }
 
     /**
@@ -99,6 +101,10 @@
         return refusing;
     }
 
+    CrashDetector crashes() {
+        return crashes;
+    }
+
     PendingRequests pending() {
         return pending;
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -25,6 +25,9 @@
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.registry.ServerRegistry;
 import org.lycheetray.core.split.WeightedSplit;
+import org.lycheetray.core.suspect.CrashSuspects;
+import org.lycheetray.core.suspect.RequestFingerprint;
+import org.lycheetray.core.suspect.SuspectRequest;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.core.traffic.AccountPolicy;
@@ -53,6 +56,7 @@
     private final Placement placement;
     private final FleetQuota quota;
     private final FleetRetryBudget retryBudget;
+    private final CrashSuspects suspects = new CrashSuspects();
     private final Map<String, WeightedSplit> splits = new HashMap<>();
     private final Set<DataCentreName> evacuatedDataCentres = new HashSet<>();
     private Optional<TrafficConfig> config = Optional.empty();
@@ -322,10 +326,74 @@
     /**
      * Returns whether other VMs should receive a report at once.
      *
-     * @return true if an account is near its limit or the limit of a server has changed
+     * @return true if an account is near its limit, the limit of a server has changed or a server has crashed
      */
     public boolean isReportDue() {
-        return quota.isReportDue() || placement.limits().isReportDue();
+        return quota.isReportDue() || placement.limits().isReportDue() || suspects.isReportDue();
+    }
+
+    /**
+     * Records that a backend server has crashed.
+     *
+     * @param server the server
+     * @param requests the local VM's requests that were in flight there
+     */
+    void recordServerCrash(RegisteredServer server, List<RequestFingerprint> requests) {
+        LogEvent.of("server-crashed")
+                .with("server", server.name())
+                .with("incarnation", server.incarnation())
+                .with("in-flight", requests.size())
+                .warn();
+        MonotonicTime now = clock.monotonic();
+        requests.forEach(r -> logSuspectChange(
+                suspects.recordCrash(server.name(), server.incarnation(), r, now),
+                server.name().value()));
+    }
+
+    /**
+     * Records that a backend server has answered a request, which is then no longer suspected of crashing servers.
+     *
+     * @param request the request
+     */
+    void recordRequestAnswered(RequestFingerprint request) {
+        if (!suspects.isEmpty()) {
+            logSuspectChange(suspects.recordAnswer(request, clock.monotonic()), "answer");
+        }
+    }
+
+    /**
+     * Applies what another VM has told about a request that was in flight at crashes.
+     *
+     * @param vm the reporting VM
+     * @param report the report
+     */
+    public void applySuspectReport(VmName vm, SuspectRequest report) {
+        logSuspectChange(suspects.applyReport(report, clock.monotonic()), vm.value());
+    }
+
+    private static void logSuspectChange(Optional<CrashSuspects.Change> change, String source) {
+        change.ifPresent(c -> LogEvent.of(eventName(c))
+                .with("digest", c.digest())
+                .with("crashes", c.crashes())
+                .with("before", c.before())
+                .with("source", source)
+                .info());
+    }
+
+    private static String eventName(CrashSuspects.Change c) {
+        if (c.clears()) {
+            return "request-cleared";
+        }
+        return c.quarantines() ? "request-quarantined" : "request-suspected";
+    }
+
+    /**
+     * Returns the requests that were in flight when backend servers crashed.
+     *
+     * @return the suspects
+     */
+    public CrashSuspects suspects() {
+        return suspects;
     }
 
     private static void logLimitChange(BackendServerName server, Optional<ServerLimits.Change> change, String source) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
@@ -117,6 +117,9 @@
         ReportRecipients recipients = view.recipients(localVm, ++sequence, clock.monotonic());
         boolean full = !recipients.usesRelays() || fullReportDue || sequence % FULL_REPORT_INTERVAL == 0;
         boolean allLimits = fullReportDue;
+        if (fullReportDue) {
+            steering.suspects().requestReports();
+        }
         fullReportDue = false;
         VmReport local = createReport(full, allLimits);
         steering.quota().recordReported();
@@ -166,6 +169,13 @@
         if (!limits.isEmpty()) {
             r.setLimits(limits);
         }
+        List<org.lycheetray.protocol.generated.SuspectRequest> suspects =
+                steering.suspects().takeReports(clock.monotonic()).stream()
+                        .map(SuspectFormat::encode)
+                        .toList();
+        if (!suspects.isEmpty()) {
+            r.setSuspects(suspects);
+        }
         return r;
     }
 
@@ -231,6 +241,9 @@
             if (r.isSetLimits()) {
                 r.getLimits().forEach(l -> steering.applyLimitReport(vm, decode(l)));
             }
+            if (r.isSetSuspects()) {
+                r.getSuspects().forEach(q -> steering.applySuspectReport(vm, SuspectFormat.decode(q)));
+            }
         } catch (IllegalArgumentException | NullPointerException e) {
             LogEvent.of("report-unreadable").with("cause", e).debug();
             return false;
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -280,6 +280,28 @@
   4: i64 ageMillis
 }
 
+/** A crash of a backend server while a request was in flight there. */
+struct SuspectCrash {
+  1: string server
+  2: i64 incarnation
+  /** Time since the crash. */
+  3: i64 ageMillis
+}
+
+/** A request that was in flight when backend servers crashed. */
+struct SuspectRequest {
+  /** Cheap hash of everything but the body's content. */
+  1: i32 hash
+  /** SHA-256 of the request, lower-case hexadecimal. */
+  2: string digest
+  /** Crashes since the last answer. */
+  3: list<SuspectCrash> crashes
+  /** Time since a server answered the request; not set if none is known to have. */
+  4: optional i64 answerAgeMillis
+  /** Time since a quarantined request was last sent as a trial; not set if it was not. */
+  5: optional i64 trialAgeMillis
+}
+
 /**
  * What a VM tells the others several times a second, as one datagram. It holds totals and states only, so that a lost,
  * repeated or reordered report does no harm.
@@ -310,4 +332,6 @@
   13: optional list<ServerLimit> limits
   /** Number of times that the store was restored from an older copy; serversVersion is comparable within it only. */
   14: optional i64 storeEra
+  /** Requests that were in flight at crashes, a few in each report. */
+  15: optional list<SuspectRequest> suspects
 }
