Set aside entries of servers with numbers out of range

Cause: numbers were checked for their type only. The cold time overflowed where all servers are updated, at each reading: event=reading-not-taken cause=ArithmeticException.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/registry/RegisteredServer.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/registry/RegisteredServer.java
@@ -28,4 +28,20 @@
         DataCentreName dataCentre,
         int slots,
         boolean draining,
-        Duration coldRemaining) {}
+        Duration coldRemaining) {
+    /** Largest number of slots that an entry may state. */
+    public static final int MAX_SLOTS = 100_000;
+
+    /** Longest time for which an entry may state that the server is cold. */
+    public static final Duration MAX_COLD = Duration.ofDays(1);
+
+    /** Checks the numbers, so that an entry of another writer cannot overflow the times and sums computed from them. */
+    public RegisteredServer {
+        if (slots < 1 || slots > MAX_SLOTS) {
+            throw new IllegalArgumentException("slots: out of range 1 to " + MAX_SLOTS + ": " + slots);
+        }
+        if (coldRemaining.isNegative() || coldRemaining.compareTo(MAX_COLD) > 0) {
+            throw new IllegalArgumentException("cold time: out of range 0 to " + MAX_COLD + ": " + coldRemaining);
+        }
+    }
+}
