Ignore refusals without identifier on kept connections

Cause: an answer without identifier counted as the running request's if it said that the request has not run.

Change: such a refusal is believed only as the first answer of a connection, where nothing earlier can be repeated.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -119,9 +119,13 @@
         fleetView = new FleetView(settings.vm(), settings.regions());
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
-        backends = new BackendClient(
-                transport, adapter.backendDialect(), clock, bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR), steering);
         metrics = new EdgeMetrics(new RequestLog(clock));
+        backends = new BackendClient(
+                transport,
+                adapter.backendDialect(),
+                clock,
+                bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR),
+                new ServerObserver(steering, metrics));
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
                 backends,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -4,9 +4,11 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.metrics.HdrReservoir;
 import org.lycheetray.daemon.metrics.PrometheusTextFormat;
@@ -62,4 +64,22 @@
                 .with("status", status)
                 .with("cause", reason));
     }
+
+    /**
+     * Records that an answer did not belong to the request that was running on its connection.
+     *
+     * @param server the server that sent it
+     * @param requestId identifier of the request that was running
+     * @param answeredId identifier in the answer, empty if it has none
+     * @param status status of the answer
+     */
+    void recordIgnoredAnswer(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {
+        registry.counter("lycheetray_answers_ignored_total").inc();
+        log.write(LogEvent.of("answer-ignored")
+                .with("server", server.name())
+                .with("incarnation", server.incarnation())
+                .with("id", requestId)
+                .with("answered-id", answeredId.orElse("none"))
+                .with("status", status));
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -33,7 +33,8 @@
  * A connection to a backend server that carries one request at a time.
  *
  * <p>Servers may send duplicate, late, truncated or malformed answers. An answer is accepted only if it is complete and
- * carries the identifier of the request sent last. A connection on which anything else arrived is not reused.
+ * carries the identifier of the request sent last, or refuses the first request of the connection. A connection on which
+ * anything else arrived is not reused.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     /** Largest answer body that is buffered, in bytes; a larger one fails the attempt. */
@@ -61,6 +62,7 @@
     private boolean mismatched;
     private boolean unusable;
     private boolean complete;
+    private boolean answeredBefore;
     private boolean connectionReset;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Duration idleLimit = DEFAULT_IDLE_TIMEOUT;
@@ -161,17 +163,32 @@
             head = null;
             return;
         }
-        Optional<String> id = dialect.answeredRequestId(r.headers());
-        mismatched = !id.equals(Optional.of(attempt.request().id()))
-                && !(id.isEmpty() && dialect.isNotRun(r.status().code(), r.headers()));
+        mismatched = !isAnswerToCurrentRequest(r);
         unusable |= mismatched;
         head = r;
         dropBody();
-        if (!mismatched) {
+        if (mismatched) {
+            events.answerIgnored(
+                    server,
+                    attempt.request().id(),
+                    dialect.answeredRequestId(r.headers()),
+                    r.status().code());
+        } else {
             reportRateStatement(r);
         }
     }
 
+    /**
+     * Returns whether an answer belongs to the request sent last. A refusal without identifier does only if it is the
+     * first answer of the connection; later it may be a copy of an earlier refusal.
+     */
+    private boolean isAnswerToCurrentRequest(HttpResponse r) {
+        Optional<String> id = dialect.answeredRequestId(r.headers());
+        return id.isPresent()
+                ? id.get().equals(attempt.request().id())
+                : !answeredBefore && dialect.isNotRun(r.status().code(), r.headers());
+    }
+
     /**
      * Reports the server's rate limit. The absence of a limit is believed only in a signed answer, since a refusal or a
      * malformed answer may lack it for another reason.
@@ -272,6 +289,7 @@
     }
 
     private void release() {
+        answeredBefore = true;
         attempt = null;
         complete = false;
         head = null;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -1,5 +1,6 @@
 package org.lycheetray.edge.backend;
 
+import java.util.Optional;
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 
@@ -19,4 +20,14 @@
      * @param statement the statement
      */
     void rateStated(RegisteredServer server, RateStatement statement);
+
+    /**
+     * An answer was ignored because it does not belong to the request that is running on the connection.
+     *
+     * @param server the server
+     * @param requestId identifier of the request that is running
+     * @param answeredId identifier in the answer, empty if it has none
+     * @param status status of the answer
+     */
+    void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status);
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -34,7 +34,6 @@
 import org.lycheetray.core.traffic.TrafficConfig;
 import org.lycheetray.core.traffic.TrafficRoute;
 import org.lycheetray.daemon.log.LogEvent;
-import org.lycheetray.edge.backend.ServerEvents;
 import org.lycheetray.edge.settings.EdgeSettings;
 import org.lycheetray.edge.store.RecordBatch;
 import org.lycheetray.edge.store.StoreRecord;
@@ -45,7 +44,7 @@
  * <p>A configuration replaces only one of a lower version, so the order of arrival does not matter. Not thread-safe:
  * used on the event loop only.
  */
-public final class TrafficSteering implements ServerEvents {
+public final class TrafficSteering {
     /** Share of a server's connection limit that the fleet uses; leaves room for closing connections and checks. */
     private static final double USABLE_CONNECTION_SHARE = 0.8;
 
@@ -289,13 +288,22 @@
         }
     }
 
-    @Override
-    public void idleConnectionLost(RegisteredServer server) {
+    /**
+     * Records that an idle connection was closed by a server before its idle timeout, as it is when the server restarts.
+     *
+     * @param server the server
+     */
+    public void suspectRestart(RegisteredServer server) {
         placement.suspectRestart(server.name(), clock.monotonic());
     }
 
-    @Override
-    public void rateStated(RegisteredServer server, RateStatement statement) {
+    /**
+     * Applies the rate of requests that a server states in an answer.
+     *
+     * @param server the server
+     * @param statement the statement
+     */
+    public void recordRate(RegisteredServer server, RateStatement statement) {
         switch (statement) {
             case RateStatement.Limited l -> recordLimit(server, OptionalDouble.of(l.perSecond()));
             case RateStatement.Unlimited u -> recordLimit(server, OptionalDouble.empty());
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -0,0 +1,90 @@
+package org.lycheetray.edge.backend;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.lycheetray.core.allowance.RateStatement;
+import org.lycheetray.core.model.BackendServerName;
+import org.lycheetray.core.model.DataCentreName;
+import org.lycheetray.core.model.Endpoint;
+import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.Clock;
+import org.lycheetray.daemon.request.Body;
+import org.lycheetray.edge.BodyBudget;
+import org.lycheetray.edge.TestDialect;
+
+/** A connection to a backend server whose bytes are written by the test, without a network. */
+final class BackendConnectionFixture {
+    static final RegisteredServer SERVER = new RegisteredServer(
+            new BackendServerName("a"),
+            1,
+            1,
+            new ServiceName("svc"),
+            new Endpoint("127.0.0.1", 1),
+            new DataCentreName("dc"),
+            3,
+            false,
+            Duration.ZERO);
+
+    static final ServerEvents NO_EVENTS = new ServerEvents() {
+        @Override
+        public void idleConnectionLost(RegisteredServer server) {}
+
+        @Override
+        public void rateStated(RegisteredServer server, RateStatement statement) {}
+
+        @Override
+        public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {}
+    };
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final List<AttemptResult> results = new ArrayList<>();
+    private final BackendConnection connection;
+
+    BackendConnectionFixture() {
+        ResponseDecoder decoder = new ResponseDecoder();
+        connection = new BackendConnection(
+                channel,
+                decoder,
+                new TestDialect(),
+                Clock.system(),
+                new BodyBudget(1 << 20),
+                () -> {},
+                SERVER,
+                NO_EVENTS);
+        channel.pipeline().addLast(decoder, connection);
+    }
+
+    /** Sends a request. */
+    void send(String id) {
+        connection.send(new Attempt(
+                new OutgoingRequest(id, HttpMethod.POST, "/", DefaultHttpHeaders::new, new Body(new byte[0])),
+                results::add));
+    }
+
+    /** Receives bytes of the server. */
+    void receive(String bytes) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Receives the end of the connection. */
+    void receiveClose() {
+        channel.finish();
+    }
+
+    boolean isReusable() {
+        return connection.isReusable();
+    }
+
+    /** Results of the requests that have ended, in the order of their ends. */
+    List<AttemptResult> results() {
+        return results;
+    }
+}
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/ResponseBodyMemoryTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/ResponseBodyMemoryTest.java
@@ -11,16 +11,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.lycheetray.core.allowance.RateStatement;
-import org.lycheetray.core.model.BackendServerName;
-import org.lycheetray.core.model.DataCentreName;
-import org.lycheetray.core.model.Endpoint;
-import org.lycheetray.core.model.ServiceName;
-import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.request.Body;
 import org.lycheetray.edge.BodyBudget;
@@ -29,24 +22,6 @@
 /** Tests that the response bodies of all connections together stay within their memory limit. */
 class ResponseBodyMemoryTest {
     private static final int LIMIT = 1_000;
-    private static final RegisteredServer SERVER = new RegisteredServer(
-            new BackendServerName("a"),
-            1,
-            1,
-            new ServiceName("svc"),
-            new Endpoint("127.0.0.1", 1),
-            new DataCentreName("dc"),
-            3,
-            false,
-            Duration.ZERO);
-    private static final ServerEvents NO_EVENTS = new ServerEvents() {
-        @Override
-        public void idleConnectionLost(RegisteredServer server) {}
-
-        @Override
-        public void rateStated(RegisteredServer server, RateStatement statement) {}
-    };
-
     private final BodyBudget budget = new BodyBudget(LIMIT);
 
     @Test
@@ -100,8 +75,8 @@
                     Clock.system(),
                     budget,
                     () -> {},
-                    SERVER,
-                    NO_EVENTS);
+                    BackendConnectionFixture.SERVER,
+                    BackendConnectionFixture.NO_EVENTS);
             channel.pipeline().addLast(connection);
             connection.send(attempt);
             DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
