Bound the numbers that callers and servers state in headers

A server with a very high limit was used by one VM of eleven.

EdgePathTest.requestWithAnEndlessTimeoutIsAnswered and ServerLimitTest.allVmsUseAServerWithAVeryHighLimit failed before (no answer; 49 requests instead of 440 or more) and pass.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerRates.java
@@ -127,7 +127,9 @@
             return true;
         }
         double perSecond = Math.max(MIN_LIMIT_PER_SECOND, limit.get().perSecond());
-        int maxUsers = limit.get().stale() ? shares.vmCount() : LIMITED_SERVER_VMS + (int) perSecond;
+        int maxUsers = limit.get().stale()
+                ? shares.vmCount()
+                : LIMITED_SERVER_VMS + (int) Math.min(perSecond, shares.vmCount());
         return s.limitRate().hasToken(perSecond, shares.share(s.server().name(), s.region(), maxUsers), now);
     }
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -231,7 +231,7 @@
      * @param now current time
      */
     public void updateReportedLoad(ReportedLoad load, double meanWorkNanos, MonotonicTime now) {
-        double sample = Math.max(0, load.running() + load.waiting() - inFlight);
+        double sample = Math.max(0, (double) load.running() + load.waiting() - inFlight);
         otherLoad = (otherLoad(now) + sample) / 2;
         otherLoadAt = now;
         otherLoadDecayNanos = LOAD_DECAY_FACTOR * meanWorkNanos;
--- a/lycheetray-core/src/test/java/org/lycheetray/core/placement/ServerLimitTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/placement/ServerLimitTest.java
@@ -85,6 +85,17 @@
         assertThat(sent).hasSizeGreaterThanOrEqualTo((int) (0.8 * perSecond * 20));
     }
 
+    /** Guards against an overflow that leaves a server with a very high limit to a single VM. */
+    @Test
+    void allVmsUseAServerWithAVeryHighLimit() {
+        startFleet(11);
+        state(OptionalDouble.of(1e300));
+
+        run(50 * TICK_MS, i -> true);
+
+        assertThat(sent).hasSizeGreaterThanOrEqualTo(11 * 40);
+    }
+
     @Test
     void partitionsTogetherRespectTheLimitAndEachUsesItsShare() {
         startFleet(11);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -47,6 +47,9 @@
     /** Time after the deadline in which an answer that is already on its way may still arrive. */
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(40);
 
+    /** Longest time that a caller is taken to wait; longer ones would overflow the time of the deadline. */
+    private static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
+
     /** Time reserved for delivering the reply, which is useless after the caller's timeout has passed. */
     private static final Duration REPLY_DELIVERY_TIME = Duration.ofMillis(50);
 
@@ -204,7 +207,10 @@
     }
 
     private void preparePlacement(TrafficRoute r) {
-        Duration callerTimeout = context.callers().timeout(request.headers()).orElse(r.timeout());
+        Duration callerTimeout = context.callers()
+                .timeout(request.headers())
+                .map(d -> d.compareTo(MAX_CALLER_TIMEOUT) < 0 ? d : MAX_CALLER_TIMEOUT)
+                .orElse(r.timeout());
         deadline = request.received().plus(callerTimeout.compareTo(r.timeout()) < 0 ? callerTimeout : r.timeout());
         MonotonicTime lastUsefulReply = request.received().plus(callerTimeout).plus(REPLY_DELIVERY_TIME.negated());
         ServiceName s = context.steering().selectService(r);
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgePathTest.java
@@ -332,6 +332,16 @@
         assertThat(edge.request(EdgeFixture.get("/read/1", "last", "")).body()).isEqualTo("second");
     }
 
+    /** Guards against closing the connection of a request whose timeout overflows the time of its deadline. */
+    @Test
+    void requestWithAnEndlessTimeoutIsAnswered() throws Exception {
+        startEdgeWith(first);
+
+        EdgeFixture.Reply r = edge.request(EdgeFixture.get("/read/1", "q1", "X-Patience: " + Long.MAX_VALUE + "\r\n"));
+
+        assertThat(r.body()).isEqualTo("first");
+    }
+
     @Test
     void requestWithTwoLengthsIsRejected() throws Exception {
         startEdgeWith(first);
