Keep connections open while a reply is being written

Cause: the stop and the idle timeout regarded a request as done when its reply was handed to the connection.

Change: a connection with a reply that is being written is not idle for the stop, and for the idle timeout only while its caller reads nothing. The drain lasts until all replies are written.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -326,7 +326,7 @@
         callOnLoop(this::startLeaving);
         awaitTime(serveUntil.isBefore(requestLimit) ? serveUntil : requestLimit);
         callOnLoop(this::startDraining);
-        awaitZero(exchanges::inProgressCount, requestLimit);
+        awaitZero(() -> exchanges.inProgressCount() + callerListener.undeliveredCount(), requestLimit);
         int ended = callOnLoop(this::endRequests);
         int undelivered = awaitZero(callerListener::undeliveredCount, start.plus(graceFraction(DELIVERY_FRACTION)));
         callOnLoop(() -> {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -51,6 +52,7 @@
     private MonotonicTime lastUsedAt;
     private Optional<MonotonicTime> headStartedAt = Optional.empty();
     private int repliesBeingWritten;
+    private long lastUnwrittenBytes;
     private boolean closing;
     private ReplyObserver.Cause closeCause = ReplyObserver.Cause.CALLER_GONE;
 
@@ -193,6 +195,7 @@
         repliesBeingWritten++;
         var _ = f.addListener(done -> {
             repliesBeingWritten--;
+            lastUsedAt = context.clock().monotonic();
             if (!done.isSuccess()) {
                 context.observer().replyNotDelivered(pipelined.id(), reply.status(), closeCause);
             }
@@ -241,8 +244,12 @@
         reservedBytes = 0;
     }
 
-    /** Closes the connection if it has no request in progress and exceeds the idle timeout or the header timeout. */
+    /**
+     * Closes the connection if it has no request in progress and exceeds the idle timeout or the header timeout. A
+     * connection on which a reply is being written is idle while the caller reads nothing of it.
+     */
     void closeIfTimedOut(MonotonicTime now) {
+        recordWriteProgress(now);
         if (!pipelinedRequests.isEmpty() || head != null || closing) {
             return;
         }
@@ -257,9 +264,20 @@
         }
     }
 
-    /** Closes the connection unless a request is in progress or being received. */
+    private void recordWriteProgress(MonotonicTime now) {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        if (repliesBeingWritten > 0 && out != null) {
+            long unwritten = out.totalPendingWriteBytes() - out.currentProgress();
+            if (unwritten != lastUnwrittenBytes) {
+                lastUnwrittenBytes = unwritten;
+                lastUsedAt = now;
+            }
+        }
+    }
+
+    /** Closes the connection unless a request is in progress or being received, or a reply is being written. */
     void closeIfIdle() {
-        if (pipelinedRequests.isEmpty() && head == null && headStartedAt.isEmpty()) {
+        if (pipelinedRequests.isEmpty() && head == null && headStartedAt.isEmpty() && repliesBeingWritten == 0) {
             closing = true;
             var _ = channel.close();
         }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/PlannedStopTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/PlannedStopTest.java
@@ -17,6 +17,9 @@
     private static final long TIMEOUT_S = 20;
     private static final String UNANSWERED = "unanswered";
 
+    /** Body that is larger than what the sockets of a connection hold. */
+    private static final String LARGE_BODY = "x".repeat(20 << 20);
+
     private EdgeFixture edge;
     private ScriptedBackendServer server;
 
@@ -77,13 +80,42 @@
         assertThat(server.requests()).hasSize(1);
     }
 
+    /** Guards against closing a connection as idle while its caller is still reading a reply. */
+    @Test
+    void answerThatIsBeingDeliveredIsDeliveredWhole() throws Exception {
+        edge.close();
+        edge = new EdgeFixture(Duration.ofSeconds(60));
+        edge.configure(1);
+        edge.register("s-0", server, false);
+        edge.awaitReady();
+        CountDownLatch answered = new CountDownLatch(1);
+        server.script((r, out, s) -> {
+            boolean large = r.header("X-Id").equals("large");
+            ScriptedBackendServer.write(
+                    out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), large ? LARGE_BODY : "small"));
+            if (large) {
+                answered.countDown();
+            }
+        });
+        Socket caller = edge.caller();
+        EdgeFixture.send(caller, EdgeFixture.get("/read/1", "large", ""));
+        assertThat(answered.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+
+        Thread stop = Thread.ofPlatform().start(edge.edge()::close);
+        edge.awaitStatus("/read/1", 503);
+
+        EdgeFixture.Reply reply = EdgeFixture.read(new BufferedInputStream(caller.getInputStream()));
+        assertThat(reply.body()).hasSize(LARGE_BODY.length());
+        stop.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+        assertThat(stop.isAlive()).isFalse();
+    }
+
     /** Guards against a stop that waits for a caller that does not read. */
     @Test
     void callerThatDoesNotReadDoesNotDelayTheStop() throws Exception {
         CountDownLatch answered = new CountDownLatch(1);
         server.script((r, out, s) -> {
-            ScriptedBackendServer.write(
-                    out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), "x".repeat(20 << 20)));
+            ScriptedBackendServer.write(out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), LARGE_BODY));
             answered.countDown();
         });
         Socket caller = edge.caller();
