--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -323,16 +323,13 @@
         MonotonicTime start = clock.monotonic();
         MonotonicTime requestLimit = start.plus(graceFraction(REQUEST_FRACTION));
         MonotonicTime serveUntil = start.plus(LEAVING_PERIOD);
-        callOnLoop(this::startLeaving);
+        runOnLoop(this::startLeaving);
         awaitTime(serveUntil.isBefore(requestLimit) ? serveUntil : requestLimit);
-        callOnLoop(this::startDraining);
+        runOnLoop(this::startDraining);
         awaitZero(() -> exchanges.inProgressCount() + callerListener.undeliveredCount(), requestLimit);
         int ended = callOnLoop(this::endRequests);
         int undelivered = awaitZero(callerListener::undeliveredCount, start.plus(graceFraction(DELIVERY_FRACTION)));
-        callOnLoop(() -> {
-            callerListener.closeForStop();
-            return 0;
-        });
+        runOnLoop(callerListener::closeForStop);
         lifecycle.advance(Phase.STOPPED);
         follower.stop();
         closer.close();
@@ -348,19 +345,20 @@
         return Duration.ofNanos((long) (fleetLimits.gracePeriod().toNanos() * fraction));
     }
 
-    private int startLeaving() {
+    private void startLeaving() {
         lifecycle.advance(Phase.LEAVING);
         registration.leave();
         LogEvent.of("leaving").with("in-progress", exchanges.inProgressCount()).info();
-        return exchanges.inProgressCount();
     }
 
-    private int startDraining() {
+    private void startDraining() {
         lifecycle.advance(Phase.DRAINING);
         exchanges.startRefusing();
         callerListener.closeIdle();
-        LogEvent.of("draining").with("in-progress", exchanges.inProgressCount()).info();
-        return exchanges.inProgressCount();
+        LogEvent.of("draining")
+                .with("in-progress", exchanges.inProgressCount())
+                .with("undelivered-connections", callerListener.undeliveredCount())
+                .info();
     }
 
     /** Ends the requests that are still in progress; returns their number. */
@@ -370,6 +368,13 @@
         return ended;
     }
 
+    private void runOnLoop(Runnable step) {
+        int _ = callOnLoop(() -> {
+            step.run();
+            return 0;
+        });
+    }
+
     /** Runs a step of the stop on the event loop; returns its result, or {@link #UNKNOWN} if it failed or is delayed. */
     private int callOnLoop(Callable<Integer> step) {
         Future<Integer> f = transport.eventLoop().submit(step);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -39,7 +39,7 @@
 import org.lycheetray.edge.store.StoreRecord;
 
 /**
- * The local VM's routing state: configuration, backend servers, quotas and retry budget.
+ * The local VM's routing state: configuration, backend servers, quotas, retry budget and requests suspected of crashes.
  *
  * <p>A configuration replaces only one of a lower version, so the order of arrival does not matter. Not thread-safe:
  * used on the event loop only.
