A leaving VM starts only attempts that can finish before the stop ends them

Callers saw: during the 2.6 s after a SIGTERM every request was taken and passed on, whatever its servers' time to answer; at 92% of the grace period it was cut off on its server and answered with 502 "interrupted". For a request that may not be repeated that answer is a loss: it says nothing about whether the request has run. The same held for repeats and hedged attempts at any time of the stop, and for requests that arrived after the 2.6 s if the step that starts the refusals was carried out late.

Cause: acceptance depended on a fixed period and on a flag that a step of the stop sets, not on the work that was left. Class of fault: work is taken without a check that the time left suffices for it.

Evidence, LateRequestInStopTest on the code before (grace period 6 s, servers that take 1 s, a fake clock): requestThatCannotBeAnsweredInTimeIsRefusedAsNotRun and requestOfARouteWithoutAnswersIsRefusedAsNotRun: 502 in place of 503; requestWhoseBodyEndsTooLateIsRefusedAsNotRun: 200 in place of 503, as the step was late; requestIsNotRepeatedIfItCannotBeAnsweredInTime: passed on twice. The two tests that requests which can finish are served passed before and pass now.

The fix: StopSchedule and AnswerTimes in core decide by time alone. Each start of an attempt (first, held, repeat, hedged) asks them, and the refusal is truthful because nothing was sent.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -19,6 +19,7 @@
 import org.lycheetray.core.fleet.ReportSchedule;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.stop.StopSchedule;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.core.traffic.ClientLimits;
@@ -49,7 +50,10 @@
  * <p>Connects the listeners, the store, the VM reports and the routing state, and runs the planned stop.
  */
 public final class Edge implements AutoCloseable {
-    /** Longest TTL of a look-up answer, which bounds how long callers still use a VM that has left. */
+    /**
+     * Longest TTL of a look-up answer, which bounds how long callers still use a VM that has left; below the time for
+     * which a {@link StopSchedule} accepts requests.
+     */
     private static final Duration MAX_LOOKUP_TTL = Duration.ofSeconds(2);
 
     /** Period of the work that depends on time alone, such as retrying waiting requests and sending due reports. */
@@ -67,18 +71,6 @@
      */
     private static final int RESPONSE_BODY_MEMORY_DIVISOR = 16;
 
-    /**
-     * Time after a stop request during which new requests are still accepted. Longer than {@link #MAX_LOOKUP_TTL},
-     * because callers notice the stop only when their look-up answers expire.
-     */
-    private static final Duration LEAVING_PERIOD = Duration.ofMillis(2_600);
-
-    /** Fraction of the grace period after which requests still in progress are ended. */
-    private static final double REQUEST_FRACTION = 0.92;
-
-    /** Fraction of the grace period after which replies that were not delivered are given up. */
-    private static final double DELIVERY_FRACTION = 0.97;
-
     /** Period at which the planned stop checks whether requests are still in progress. */
     private static final Duration POLL_PERIOD = Duration.ofMillis(20);
 
@@ -233,6 +225,7 @@
 
     private void onRoutingStateChanged() {
         backends.retainServers(steering.servers());
+        steering.config().map(TrafficConfig::routes).ifPresent(exchanges::retainRoutes);
         if (steering.isReady()) {
             lifecycle.advance(Phase.SERVING);
         }
@@ -312,7 +305,8 @@
 
     /**
      * Stops as planned: withdraws this VM from look-ups, keeps serving callers whose look-up answers have not expired,
-     * completes the requests in progress, then closes. Shortly before the end of the grace period the requests still in
+     * completes the requests in progress, then closes. Starts no work that the servers are not likely to finish within the
+     * grace period: such a request is refused as not run, so that its caller can use another VM. Shortly before the end of the grace period the requests still in
      * progress get a reply, so that the answers that wait behind them on a connection are delivered too.
      */
     @Override
@@ -321,14 +315,15 @@
             return;
         }
         MonotonicTime start = clock.monotonic();
-        MonotonicTime requestLimit = start.plus(graceFraction(REQUEST_FRACTION));
-        MonotonicTime serveUntil = start.plus(LEAVING_PERIOD);
+        StopSchedule schedule = new StopSchedule(start, fleetLimits.gracePeriod());
+        lifecycle.advance(Phase.LEAVING);
+        exchanges.startLeaving(schedule);
         runOnLoop(this::startLeaving);
-        awaitTime(serveUntil.isBefore(requestLimit) ? serveUntil : requestLimit);
+        awaitTime(schedule.serveUntil());
         runOnLoop(this::startDraining);
-        awaitZero(() -> exchanges.inProgressCount() + callerListener.undeliveredCount(), requestLimit);
+        awaitZero(() -> exchanges.inProgressCount() + callerListener.undeliveredCount(), schedule.requestLimit());
         int ended = callOnLoop(this::endRequests);
-        int undelivered = awaitZero(callerListener::undeliveredCount, start.plus(graceFraction(DELIVERY_FRACTION)));
+        int undelivered = awaitZero(callerListener::undeliveredCount, schedule.deliveryLimit());
         runOnLoop(callerListener::closeForStop);
         lifecycle.advance(Phase.STOPPED);
         follower.stop();
@@ -341,19 +336,13 @@
         stopped.countDown();
     }
 
-    private Duration graceFraction(double fraction) {
-        return Duration.ofNanos((long) (fleetLimits.gracePeriod().toNanos() * fraction));
-    }
-
     private void startLeaving() {
-        lifecycle.advance(Phase.LEAVING);
         registration.leave();
         LogEvent.of("leaving").with("in-progress", exchanges.inProgressCount()).info();
     }
 
     private void startDraining() {
         lifecycle.advance(Phase.DRAINING);
-        exchanges.startRefusing();
         callerListener.closeIdle();
         LogEvent.of("draining")
                 .with("in-progress", exchanges.inProgressCount())
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -247,6 +247,12 @@
     }
 
     private void place() {
+        if (!exchanges.canFinish(placement.route(), deadline)) {
+            removeFromPending();
+            appendToAttemptLog("too-late-before-stop");
+            endUnplaced(Outcome.LEAVING, LEAVING_RETRY_AFTER);
+            return;
+        }
         PlacementDecision d = context.steering().placement().decide(placement, now());
         switch (d) {
             case PlacementDecision.Send s -> {
@@ -322,6 +328,7 @@
                 || runningAttempts.size() != 1
                 || !runningAttempts.contains(r)
                 || attemptCount >= placement.route().maxAttempts()
+                || !exchanges.canFinish(placement.route(), deadline)
                 || !mayRepeat()) {
             return;
         }
@@ -356,6 +363,7 @@
         PlacementDecision.Send send = r.decision();
         appendToAttemptLog(send.name() + " " + took.toMillis() + "ms " + describe(result));
         if (result instanceof AttemptResult.Answer a) {
+            exchanges.answerTimes().record(placement.route(), took);
             context.servers()
                     .reportedLoad(a.headers())
                     .ifPresent(l -> context.steering().placement().recordReportedLoad(send.name(), l, now));
@@ -432,7 +440,7 @@
         if (success && !signed) {
             mayHaveRun = true;
             retryIfIdempotentOrElse(() -> finish(Outcome.UNKNOWN, Optional.empty()));
-        } else if (indicatesNotRun(a.status())) {
+        } else if (Outcome.promisesNotRun(a.status())) {
             mayHaveRun = true;
             retryIfIdempotentOrElse(() -> finish(Outcome.UNKNOWN, Optional.empty()));
         } else if (a.status() >= 500) {
@@ -444,14 +452,6 @@
         }
     }
 
-    /**
-     * Returns whether a status promises callers that the request has not run. An answer to a request that may have run
-     * must not be delivered with such a status.
-     */
-    private static boolean indicatesNotRun(int status) {
-        return status == 429 || status == 503 || status == 408 || status == 421;
-    }
-
     private void retryIfIdempotentOrElse(Runnable otherwise) {
         if (runningAttempts.isEmpty()) {
             if (placement.route().isIdempotent() && canRetry(true)) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -2,22 +2,28 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.stop.AnswerTimes;
+import org.lycheetray.core.stop.StopSchedule;
+import org.lycheetray.core.time.MonotonicTime;
+import org.lycheetray.core.traffic.TrafficRoute;
 
 /**
  * Starts and counts the exchanges in progress, and retries those that wait for a backend server.
  *
- * <p>Not thread-safe: used on the event loop only.
+ * <p>Not thread-safe: used on the event loop only, except for {@link #startLeaving}.
  */
 public final class Exchanges {
     private final ExchangeContext context;
     private final PendingRequests pending = new PendingRequests();
     private final CrashDetector crashes;
     private final Set<Exchange> inProgress = new LinkedHashSet<>();
+    private final AnswerTimes answerTimes = new AnswerTimes();
+    private volatile Optional<StopSchedule> stop = Optional.empty();
     private long sequence;
-    private boolean refusing;
     private boolean retryScheduled;
 
     /**
@@ -44,9 +50,23 @@
         return e;
     }
 
-    /** Refuses all further requests as not run because the VM is leaving the fleet. */
-    public void startRefusing() {
-        refusing = true;
+    /**
+     * From now on, starts only attempts that can finish before the planned stop ends them, and refuses other requests as
+     * not run. May be called by any thread.
+     *
+     * @param schedule schedule of the stop
+     */
+    public void startLeaving(StopSchedule schedule) {
+        stop = Optional.of(schedule);
+    }
+
+    /**
+     * Drops what is known of routes that do not exist any more.
+     *
+     * @param routes the existing routes
+     */
+    public void retainRoutes(List<TrafficRoute> routes) {
+        answerTimes.retainRoutes(routes.stream().map(TrafficRoute::name).toList());
     }
 
     /**
@@ -97,8 +117,22 @@
         }
     }
 
+    /** Returns whether new requests are refused as not run because the VM is leaving. */
     boolean isRefusing() {
-        return refusing;
+        return stop.filter(s -> !s.accepts(context.clock().monotonic())).isPresent();
+    }
+
+    /** Returns whether an attempt may be started: false if a planned stop would probably end it. */
+    boolean canFinish(TrafficRoute route, MonotonicTime deadline) {
+        return stop.map(s -> s.canFinish(
+                        answerTimes.likelyWithin(route),
+                        deadline,
+                        context.clock().monotonic()))
+                .orElse(true);
+    }
+
+    AnswerTimes answerTimes() {
+        return answerTimes;
     }
 
     CrashDetector crashes() {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Outcome.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Outcome.java
@@ -50,4 +50,15 @@
     public boolean isNotRun() {
         return notRun;
     }
+
+    /**
+     * Returns whether a status promises callers that the request has not run. An answer to a request that may have run
+     * must not be delivered with such a status.
+     *
+     * @param status an HTTP status code
+     * @return true if callers may send the request again, whatever its kind
+     */
+    static boolean promisesNotRun(int status) {
+        return status == 429 || status == 503 || status == 408 || status == 421;
+    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -58,6 +58,7 @@
 
     private final InMemoryFleetStore store = new InMemoryFleetStore();
     private final EdgeSettings settings;
+    private final Clock clock;
     private Edge edge;
     private final List<Socket> sockets = new ArrayList<>();
     private long incarnation;
@@ -68,6 +69,11 @@
     }
 
     EdgeFixture(Duration grace) throws IOException {
+        this(grace, Clock.system());
+    }
+
+    EdgeFixture(Duration grace, Clock clock) throws IOException {
+        this.clock = clock;
         settings = new EdgeSettings(
                 new VmName("vm"),
                 DC,
@@ -86,7 +92,7 @@
     void start() {
         if (edge == null) {
             TestDialect dialect = new TestDialect();
-            edge = Edge.start(settings, new EdgeAdapter(dialect, dialect, dialect, (t, a) -> store), Clock.system());
+            edge = Edge.start(settings, new EdgeAdapter(dialect, dialect, dialect, (t, a) -> store), clock);
         }
     }
 
@@ -109,6 +115,7 @@
                                 route("reads", "/read/", RetrySafety.REPEATABLE, TARGET),
                                 route("quick-reads", "/quick/", RetrySafety.REPEATABLE, QUICK_TARGET),
                                 route("orders", "/order/", RetrySafety.AT_MOST_ONCE, TARGET),
+                                route("late-orders", "/late-order/", RetrySafety.AT_MOST_ONCE, TARGET),
                                 route("quick-orders", "/quick-order/", RetrySafety.AT_MOST_ONCE, QUICK_TARGET)),
                         List.of(new TrafficService(SERVICE, "/health", 300, Duration.ofSeconds(3), 4)),
                         ClientLimits.INITIAL,
