SIGHUP is handled from the first line of main on

Operators saw: a VM that got SIGHUP while it started ended with status 129. The handler was installed only after the listeners, the store client and the class loading of all of them. Class of fault: a handler that is set up after slow work. Now it is installed first, keeps the signal, and the settings are compared once more when the VM runs.

Evidence: EarlySighupTest holds the process back while it reads its settings (a pipe) and sends the signal then. Before, the process ended (the test got "Broken pipe"); now it ends with the status for invalid settings, as the test then gives it.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
@@ -45,6 +45,7 @@
      * @throws InterruptedException if the thread is interrupted while waiting for the stop
      */
     public static void run(Path file, String[] args, EdgeAdapter adapter) throws InterruptedException {
+        SighupHandler sighup = SighupHandler.install();
         List<String> flags = Arrays.asList(args);
         if (flags.contains("--help") || flags.contains("-h")) {
             printHelp();
@@ -62,13 +63,13 @@
             System.out.println("settings are valid");
             return;
         }
-        main.start(settings.get(), adapter);
+        main.start(settings.get(), adapter, sighup);
     }
 
-    private void start(EdgeSettings settings, EdgeAdapter adapter) throws InterruptedException {
+    private void start(EdgeSettings settings, EdgeAdapter adapter, SighupHandler sighup) throws InterruptedException {
         Edge edge = ProcessUtil.startOrExit(settings.vm(), () -> Edge.start(settings, adapter, Clock.system()));
         SettingsReloader reloader = new SettingsReloader(this::readSettings, settings, edge);
-        SighupHandler.install(() -> reloader.reloadIfChanged("signal"));
+        sighup.setAction(() -> reloader.reloadIfChanged("signal"));
         ProcessUtil.registerShutdownHook(edge::close);
         while (!edge.awaitStopped(SettingsReloader.CHECK_PERIOD)) {
             reloader.reloadIfChanged("file");
