A planned stop does not close connections between the head and the body of a request

Callers saw: a request whose body was still arriving when the VM had finished its other work, 2.6 s after the SIGTERM, lost its connection without an answer, although most of the grace period was left and although it had not run. Cause: the drain counted requests that had arrived completely and replies, not requests under way.

Evidence, LateRequestInStopTest on the code before: requestWhoseBodyIsArrivingKeepsTheStopWaiting: the stop had ended; requestThatDoesNotArriveBeforeTheEndOfTheStopIsRefused: no answer in place of 503. Both pass now.

Also new, and passing before: a caller that uses its connection until the end, and requests pipelined too late.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -321,7 +321,7 @@
         runOnLoop(this::startLeaving);
         awaitTime(schedule.serveUntil());
         runOnLoop(this::startDraining);
-        awaitZero(() -> exchanges.inProgressCount() + callerListener.undeliveredCount(), schedule.requestLimit());
+        awaitZero(this::unfinishedCount, schedule.requestLimit());
         int ended = callOnLoop(this::endRequests);
         int undelivered = awaitZero(callerListener::undeliveredCount, schedule.deliveryLimit());
         runOnLoop(callerListener::closeForStop);
@@ -350,6 +350,11 @@
                 .info();
     }
 
+    /** Returns the number of requests in progress, and of connections with a request or a reply under way. */
+    private int unfinishedCount() {
+        return exchanges.inProgressCount() + callerListener.receivingCount() + callerListener.undeliveredCount();
+    }
+
     /** Ends the requests that are still in progress; returns their number. */
     private int endRequests() {
         int ended = exchanges.endAll();
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -288,6 +288,18 @@
         return repliesBeingWritten > 0 || pipelinedRequests.stream().anyMatch(s -> s.reply != null);
     }
 
+    /** Returns whether the head of a request has arrived and its body has not arrived completely. */
+    boolean isReceivingBody() {
+        return head != null && !closing;
+    }
+
+    /** Refuses a request whose body has not arrived completely, and which therefore has not run. */
+    void refuseIncomplete() {
+        if (isReceivingBody()) {
+            rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     /** Closes the connection because the VM stops; replies that were not delivered are lost. */
     void closeForStop() {
         closeCause = ReplyObserver.Cause.STOPPED;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
@@ -72,9 +72,13 @@
         new ArrayList<>(connections).forEach(c -> c.closeIfTimedOut(now));
     }
 
-    /** Stops accepting connections and closes those without a request in progress. */
+    /**
+     * Stops accepting connections, refuses requests that have not arrived completely and closes the connections without a
+     * request in progress.
+     */
     public void stopAccepting() {
         var _ = listener.close();
+        new ArrayList<>(connections).forEach(CallerConnection::refuseIncomplete);
         closeIdle();
     }
 
@@ -83,6 +87,16 @@
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Returns the number of connections on which the body of a request is arriving.
+     *
+     * @return number of connections
+     */
+    public int receivingCount() {
+        return (int)
+                connections.stream().filter(CallerConnection::isReceivingBody).count();
+    }
+
     /**
      * Returns the number of connections with replies that have not been written completely.
      *
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/LateRequestInStopTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LateRequestInStopTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +23,9 @@
     /** Longest time that the stop of the test may take on the clock of the system. */
     private static final long TIMEOUT_MS = TimeUnit.SECONDS.toMillis(20);
 
+    /** Time in which a stop that waits for nothing ends. */
+    private static final Duration STOP_WITHOUT_WORK = Duration.ofMillis(500);
+
     private final SteppedClock clock = new SteppedClock();
     private EdgeFixture edge;
     private ScriptedBackendServer server;
@@ -136,7 +140,7 @@
         startStop();
         Socket caller = edge.caller();
         String request = EdgeFixture.post("/order/2", "q1", "body");
-        EdgeFixture.send(caller, request.substring(0, request.length() - 1));
+        sendAllButTheLastByte(caller, request);
         clock.advance(Duration.ofSeconds(4));
         EdgeFixture.send(caller, request.substring(request.length() - 1));
 
@@ -146,4 +150,99 @@
         assertThat(reply.head()).containsIgnoringCase("connection: close");
         assertThat(server.requests()).noneMatch(r -> r.header("X-Id").equals("q1"));
     }
+
+    /** Guards against a stop that ends between the head and the body of a request. */
+    @Test
+    void requestWhoseBodyIsArrivingKeepsTheStopWaiting() throws Exception {
+        Socket caller = edge.caller();
+        String request = EdgeFixture.post("/order/2", "q1", "body");
+        sendAllButTheLastByte(caller, request);
+        startStop();
+        clock.advance(Duration.ofSeconds(3));
+        assertThat(edge.edge().awaitStopped(STOP_WITHOUT_WORK)).isFalse();
+        EdgeFixture.send(caller, request.substring(request.length() - 1));
+
+        assertThat(EdgeFixture.read(new BufferedInputStream(caller.getInputStream()))
+                        .status())
+                .isEqualTo(503);
+    }
+
+    /** Guards against closing the connection of a request that has arrived in part without telling that it has not run. */
+    @Test
+    void requestThatDoesNotArriveBeforeTheEndOfTheStopIsRefused() throws Exception {
+        Socket caller = edge.caller();
+        sendAllButTheLastByte(caller, EdgeFixture.post("/order/2", "q1", "body"));
+        startStop();
+        clock.advance(Duration.ofMillis(5_600));
+
+        EdgeFixture.Reply reply = EdgeFixture.read(new BufferedInputStream(caller.getInputStream()));
+
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(reply.head()).containsIgnoringCase("connection: close");
+    }
+
+    /** Guards against requests that are passed on and cut off although their caller uses its connection until the end. */
+    @Test
+    void callerThatKeepsSendingGetsAnAnswerToEachRequestThatIsPassedOn() throws Exception {
+        stop = Thread.ofPlatform().unstarted(edge.edge()::close);
+        int answered = 0;
+        int sent = 0;
+        Socket caller = edge.caller();
+        BufferedInputStream in = new BufferedInputStream(caller.getInputStream());
+        boolean open = true;
+        while (open) {
+            if (++sent == 3) {
+                stop.start();
+            }
+            EdgeFixture.send(caller, EdgeFixture.post("/order/2", "kept-" + sent, "x"));
+            EdgeFixture.Reply reply = EdgeFixture.read(in);
+            answered += reply.status() == 200 ? 1 : 0;
+            open = reply.status() != 0 && !reply.hasHeader("Connection");
+        }
+
+        assertThat(server.requests().stream().filter(r -> r.header("X-Id").startsWith("kept-")))
+                .hasSize(answered);
+    }
+
+    /** Guards against passing on the requests behind a long one when the VM has begun to refuse requests. */
+    @Test
+    void requestsPipelinedTooLateAreRefusedInOrder() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        server.script((r, out, s) -> {
+            awaitLatch(release);
+            ScriptedBackendServer.write(out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), "done"));
+        });
+        Socket caller = edge.caller();
+        EdgeFixture.send(caller, EdgeFixture.get("/read/1", "q1", ""));
+        while (server.requests().stream().noneMatch(r -> r.header("X-Id").equals("q1"))) {
+            Thread.sleep(5);
+        }
+        startStop();
+        clock.advance(Duration.ofSeconds(3));
+        EdgeFixture.send(caller, EdgeFixture.get("/read/2", "q2", "") + EdgeFixture.get("/read/3", "q3", ""));
+        // A refusal on another connection shows that the loop has run since.
+        edge.awaitStatus("/read/4", 503);
+        release.countDown();
+
+        BufferedInputStream in = new BufferedInputStream(caller.getInputStream());
+        assertThat(EdgeFixture.read(in).status()).isEqualTo(200);
+        assertThat(EdgeFixture.read(in).status()).isEqualTo(503);
+        assertThat(EdgeFixture.read(in).status()).isEqualTo(503);
+        assertThat(server.requests()).noneMatch(r -> r.header("X-Id").matches("q[23]"));
+    }
+
+    /** Sends a request but for the last byte of its body, and waits until its head has been read. */
+    private static void sendAllButTheLastByte(Socket caller, String request) throws IOException {
+        String expecting = request.replace("X-Id:", "Expect: 100-continue\r\nX-Id:");
+        EdgeFixture.send(caller, expecting.substring(0, expecting.length() - 1));
+        assertThat(EdgeFixture.read(caller.getInputStream()).status()).isEqualTo(100);
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
