The daemon answers the requests that are unanswered at its drain limit

Callers of the daemon: a request still unanswered at the drain limit lost its connection without an answer, as the process halted; the log said `stopped abandoned=N`.

HttpFrontendTest.requestThatIsUnansweredAtTheEndOfAStopGetsAReplyThatPromisesNothing passes now.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/once/FailurePoint.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/once/FailurePoint.java
@@ -73,6 +73,8 @@
     ANSWER_INVALID(502, Proof.NONE, RetryPolicy.ANOTHER_SERVER_IF_SAFE, "the answer belongs to another request"),
     /** The deadline passed after dispatch, before the complete answer was received. */
     DEADLINE(504, Proof.NONE, RetryPolicy.REFUSE, "no whole answer came before the deadline"),
+    /** The VM stopped after the request had arrived, before the complete answer was received. */
+    INTERRUPTED(502, Proof.NONE, RetryPolicy.REFUSE, "the VM was stopped before a whole answer came"),
     /** An internal error occurred; the request may have been sent. */
     INTERNAL(500, Proof.NONE, RetryPolicy.REFUSE, "an internal error");
 
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import org.lycheetray.core.ledger.LedgerLimits;
 import org.lycheetray.core.model.Incarnation;
 import org.lycheetray.core.model.Policy;
+import org.lycheetray.core.stop.StopSchedule;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.admission.FleetAdmission;
@@ -46,6 +47,7 @@
     private final Lifecycle lifecycle = new Lifecycle();
     private final ConfigAgent config;
     private final FleetMembership membership;
+    private final HttpFrontend frontend;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -90,7 +92,7 @@
         metrics.registerGauge("lycheetray_refused_peer_connections_total", peers::refusedConnections);
         ledger.registerMetrics(metrics);
         peers.listen(settings.peerEndpoint());
-        closer.add("http-front", HttpFrontend.create(dependencies, settings.callerEndpoint()));
+        frontend = closer.add("http-front", HttpFrontend.create(dependencies, settings.callerEndpoint()));
         var _ = control.schedulePeriodically("check-ready", READINESS_POLL_INTERVAL, this::serveWhenConfigured);
         logStart(local, settings);
     }
@@ -135,8 +137,8 @@
 
     /**
      * Shuts down gracefully. Announces that this VM is leaving, which removes it from look-up answers, and serves
-     * requests until cached look-up answers have expired. Then refuses new requests until those in progress have ended
-     * or the drain limit is reached, and closes all components. Calls after the first one have no effect.
+     * requests until cached look-up answers have expired. Then refuses new requests until those in progress have ended.
+     * Shortly before the drain limit the requests still in progress get a reply. Then closes all components. Calls after the first one have no effect.
      */
     @Override
     public void close() {
@@ -145,20 +147,25 @@
         }
         Optional<Policy> policy = config.active().map(c -> c.manifest().policy());
         MonotonicTime start = clock.monotonic();
-        MonotonicTime deadline = start.plus(policy.map(Policy::drainLimit).orElse(DEFAULT_DRAIN_TIMEOUT));
+        StopSchedule schedule =
+                new StopSchedule(start, policy.map(Policy::drainLimit).orElse(DEFAULT_DRAIN_TIMEOUT));
         Duration ttl = policy.map(Policy::lookupTtl).orElse(Duration.ZERO);
         lifecycle.advance(Phase.LEAVING);
         membership.announceLeaving();
         LogEvent.of("leaving").with("step", "announce").info();
-        awaitUntil(earlier(start.plus(ttl), deadline), false);
+        awaitUntil(earlier(start.plus(ttl), schedule.requestLimit()), false);
         lifecycle.advance(Phase.DRAINING);
         LogEvent.of("draining")
                 .with("in-progress", lifecycle.requestsInProgress())
                 .info();
-        awaitUntil(deadline, true);
+        awaitUntil(schedule.requestLimit(), true);
+        int ended = lifecycle.requestsInProgress();
+        frontend.endRequests();
+        awaitUntil(schedule.deliveryLimit(), true);
         lifecycle.advance(Phase.STOPPED);
         closer.close();
         LogEvent.of("stopped")
+                .with("ended", ended)
                 .with("abandoned", lifecycle.requestsInProgress())
                 .with("took", clock.monotonic().since(start))
                 .info();
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFrontend.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/HttpFrontend.java
@@ -77,6 +77,11 @@
         };
     }
 
+    /** Ends the requests in progress with a reply that promises nothing, because the VM stops. */
+    public void endRequests() {
+        requestEndpoint.endRequests();
+    }
+
     @Override
     public void close() {
         server.disposeNow();
--- a/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
+++ b/lycheetray-daemon/src/main/java/org/lycheetray/daemon/http/internal/RequestEndpoint.java
@@ -20,6 +20,7 @@
 import org.lycheetray.daemon.request.Response;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.SignalType;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -30,6 +31,7 @@
 
     private final HttpFrontendDependencies dependencies;
     private final BodyReader bodyReader = new BodyReader();
+    private final Sinks.Empty<Void> requestsEnded = Sinks.empty();
     private final AtomicLong lastRequestNumber = new AtomicLong();
     private final String idPrefix;
 
@@ -69,7 +71,7 @@
     public Mono<Void> handle(HttpServerRequest req, HttpServerResponse res, String path) {
         Call call = new Call(createHead(req, path), dependencies.clock().instant());
         dependencies.lifecycle().recordRequestStart();
-        return respond(req, call)
+        return Mono.firstWithSignal(respond(req, call), interruption())
                 .onErrorResume(e -> Mono.just(internalError(call, e)))
                 .flatMap(response -> {
                     call.response = response;
@@ -78,6 +80,17 @@
                 .doFinally(signal -> finish(call, signal));
     }
 
+    /** Ends the requests in progress whose responses have not begun, because the VM stops; they may have run. */
+    public void endRequests() {
+        var _ = requestsEnded.tryEmitEmpty();
+    }
+
+    private Mono<Response> interruption() {
+        return requestsEnded
+                .asMono()
+                .then(refuse(Refusal.of(FailurePoint.INTERRUPTED, "this VM was stopped; the request may have run")));
+    }
+
     private RequestHead createHead(HttpServerRequest req, String path) {
         RequestId id = new RequestId(idPrefix + Long.toString(lastRequestNumber.incrementAndGet(), RADIX));
         MonotonicTime now = dependencies.clock().monotonic();
--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontendFixture.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontendFixture.java
@@ -66,6 +66,7 @@
     final Endpoint address = new Endpoint("127.0.0.1", freePort());
     final DaemonMetrics metrics = new DaemonMetrics();
     final BlockingQueue<FinishedRequest> finished = new LinkedBlockingQueue<>();
+    private final HttpFrontend frontend;
     private final Closer closer = new Closer();
 
     HttpFrontendFixture(HttpServer backend) {
@@ -88,13 +89,17 @@
                 finished::add,
                 metrics,
                 new StatusReport(control));
-        closer.add("front", HttpFrontend.create(dependencies, address));
+        frontend = closer.add("front", HttpFrontend.create(dependencies, address));
     }
 
     String url(String path) {
         return "http://" + address + path;
     }
 
+    void endRequests() {
+        frontend.endRequests();
+    }
+
     FinishedRequest nextFinished() throws InterruptedException {
         return finished.poll(10, TimeUnit.SECONDS);
     }
--- a/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontendTest.java
+++ b/lycheetray-daemon/src/test/java/org/lycheetray/daemon/http/HttpFrontendTest.java
@@ -12,6 +12,9 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -29,6 +32,7 @@
 
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Semaphore silentRequests = new Semaphore(0);
     private final HttpFrontendFixture frontend = new HttpFrontendFixture(backend());
 
     @AfterEach
@@ -139,6 +143,21 @@
         assertThat(response.statusCode()).isEqualTo(431);
     }
 
+    /** Guards against closing the connection of a request that is still unanswered when the VM stops. */
+    @Test
+    void requestThatIsUnansweredAtTheEndOfAStopGetsAReplyThatPromisesNothing() throws Exception {
+        CompletableFuture<HttpResponse<String>> response = http.sendAsync(
+                HttpRequest.newBuilder(URI.create(frontend.url("/open/silent"))).build(), BodyHandlers.ofString());
+        assertThat(silentRequests.tryAcquire(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                .isTrue();
+
+        frontend.endRequests();
+
+        assertThat(response.get().statusCode()).isEqualTo(502);
+        assertThat(response.get().body()).contains("interrupted");
+        assertThat(frontend.nextFinished().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
     private HttpResponse<String> get(String path) throws Exception {
         return send(path, r -> r);
     }
@@ -157,7 +176,7 @@
         }
     }
 
-    private static HttpServer backend() {
+    private HttpServer backend() {
         return HttpServer.create()
                 .host("127.0.0.1")
                 .port(0)
@@ -179,6 +198,9 @@
                                 (req, res) -> res.header("Content-Length", "1000000")
                                         .sendString(Flux.just("z".repeat(LARGE_BODY_BYTES))
                                                 .concatWith(Flux.never())))
+                        .get(
+                                "/open/silent",
+                                (req, res) -> Mono.<Void>never().doOnSubscribe(x -> silentRequests.release()))
                         .get("/**", (req, res) -> res.sendString(Mono.just(req.uri()))));
     }
 
