--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/LateRequestInStopTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LateRequestInStopTest.java
@@ -23,6 +23,9 @@
     /** Longest time that the stop of the test may take on the clock of the system. */
     private static final long TIMEOUT_MS = TimeUnit.SECONDS.toMillis(20);
 
+    /** Time after which a request of the route with the short target latency has been hedged, if it may be. */
+    private static final Duration HEDGE_DELAY = Duration.ofMillis(500);
+
     /** Time in which a stop that waits for nothing ends. */
     private static final Duration STOP_WITHOUT_WORK = Duration.ofMillis(500);
 
@@ -134,6 +137,21 @@
                 .hasSize(1);
     }
 
+    /** Guards against a hedged attempt that is sent so late that the stop cuts it off. */
+    @Test
+    void overdueRequestIsNotHedgedIfItCannotBeAnsweredInTime() throws Exception {
+        server.script((r, out, s) -> clock.advance(Duration.ofMillis(5_500)));
+        startStop();
+        Socket caller = edge.caller();
+        EdgeFixture.send(caller, EdgeFixture.get("/quick/1", "q1", ""));
+        Thread.sleep(HEDGE_DELAY);
+        clock.advance(GRACE);
+
+        assertThat(EdgeFixture.read(caller.getInputStream()).status()).isEqualTo(502);
+        assertThat(server.requests().stream().filter(r -> r.header("X-Id").equals("q1")))
+                .hasSize(1);
+    }
+
     /** Guards against passing on a request whose body was still arriving when the VM began to refuse requests. */
     @Test
     void requestWhoseBodyEndsTooLateIsRefusedAsNotRun() throws Exception {
