Answers: a cut answer and the one after it are not taken for one

What callers saw: after a backend server had cut an answer short without closing the connection, the bytes of the next answer on it completed the cut one. A caller got its own identifier and signature with the status of another answer (a second 200 that stops after "HTTP/1.1 200 " turned the 404 that follows into a 200), or a body that ended in the head of the server's second answer.

Cause: the decoder accepts anything as reason phrase, protocol name and header value, skips control characters before the status line, and keeps the bytes that arrive while no request is running; the stated length says where an answer ends even if the server stopped before it. An answer that names two requests was taken by its first name.

New log event answer-surplus and counter lycheetray_answer_surplus_total: with answer-ignored, every second answer is seen.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -82,4 +82,18 @@
                 .with("answered-id", answeredId.orElse("none"))
                 .with("status", status));
     }
+
+    /**
+     * Records bytes that a backend server sent after a whole answer.
+     *
+     * @param server the server
+     * @param requestId identifier of the request that was answered, empty if there was none
+     */
+    void recordSurplus(RegisteredServer server, String requestId) {
+        registry.counter("lycheetray_answer_surplus_total").inc();
+        log.write(LogEvent.of("answer-surplus")
+                .with("server", server.name())
+                .with("incarnation", server.incarnation())
+                .with("id", requestId.isEmpty() ? "none" : requestId));
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,6 +21,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.registry.RegisteredServer;
@@ -33,8 +35,8 @@
  * A connection to a backend server that carries one request at a time.
  *
  * <p>Servers may send duplicate, late, truncated or malformed answers. An answer is accepted only if it is complete and
- * carries the identifier of the request sent last, or refuses the first request of the connection. A connection on which
- * anything else arrived is not reused.
+ * carries the identifier of the request sent last, or refuses the first request of the connection, and if no second
+ * answer begins inside its body. A connection on which anything else arrived is not reused.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     /** Largest answer body that is buffered, in bytes; a larger one fails the attempt. */
@@ -52,12 +54,14 @@
     private final Channel channel;
     private final ResponseDecoder decoder;
     private final BackendDialect dialect;
+    private final EmbeddedAnswerFinder embeddedAnswers;
     private final Clock clock;
     private final BodyBudget budget;
     private final Runnable onIdle;
     private final RegisteredServer server;
     private final ServerEvents events;
     private Attempt attempt;
+    private String previousRequestId = "";
     private HttpResponse head;
     private boolean mismatched;
     private boolean unusable;
@@ -80,6 +84,7 @@
         this.channel = channel;
         this.decoder = decoder;
         this.dialect = dialect;
+        this.embeddedAnswers = new EmbeddedAnswerFinder(dialect);
         this.clock = clock;
         this.budget = budget;
         this.onIdle = onIdle;
@@ -105,7 +110,7 @@
     void send(Attempt next) {
         attempt = next;
         OutgoingRequest r = next.request();
-        decoder.setRequestMethod(r.method());
+        decoder.expectResponse(r.method());
         head = null;
         complete = false;
         next.onCancel(this::cancelAttempt);
@@ -155,7 +160,7 @@
 
     private void handleHead(HttpResponse r) {
         if (attempt == null || complete) {
-            unusable = true;
+            reportSurplus();
             var _ = channel.close();
             return;
         }
@@ -236,13 +241,22 @@
             loseConnection("connection reset");
             return;
         }
+        byte[] bytes = body.toByteArray();
+        if (isSpliced(bytes)) {
+            failAttempt("answer begins inside the body of another at " + body.size() + " bytes");
+            var _ = channel.close();
+            return;
+        }
         complete = true;
+        if (decoder.undecodedBytes().isReadable()) {
+            reportSurplus();
+        }
         HttpHeaders h = head.headers();
         int status = head.status().code();
         unusable |= !HttpUtil.isKeepAlive(head);
         readKeepAliveTimeout(h);
         Attempt a = attempt;
-        AttemptResult result = toResult(status, h);
+        AttemptResult result = toResult(status, h, bytes);
         dropBody();
         if (!channel.isActive()) {
             release();
@@ -250,7 +264,23 @@
         a.complete(result);
     }
 
-    private AttemptResult toResult(int status, HttpHeaders h) {
+    /** Returns whether the body holds the start of a second answer, so that it is not the body that the server made. */
+    private boolean isSpliced(byte[] bytes) {
+        return embeddedAnswers.containsAnswer(
+                bytes, decoder.undecodedBytes(), List.of(attempt.request().id(), previousRequestId));
+    }
+
+    /** Ends the use of the connection because of bytes that arrived after a whole answer. */
+    private void reportSurplus() {
+        if (!unusable) {
+            unusable = true;
+            events.surplusReceived(
+                    server,
+                    attempt == null ? previousRequestId : attempt.request().id());
+        }
+    }
+
+    private AttemptResult toResult(int status, HttpHeaders h, byte[] bytes) {
         if (dialect.isMisdirected(status)) {
             return new AttemptResult.NotRun(AttemptResult.NotRunReason.MISDIRECTED);
         }
@@ -260,7 +290,7 @@
         if (h.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             return new AttemptResult.Unknown("response has a Content-Encoding that was not requested", false);
         }
-        return new AttemptResult.Answer(status, h, new Body(body.toByteArray()));
+        return new AttemptResult.Answer(status, h, new Body(bytes));
     }
 
     private void readKeepAliveTimeout(HttpHeaders h) {
@@ -290,9 +320,16 @@
 
     private void release() {
         answeredBefore = true;
+        if (decoder.isInsideResponse()) {
+            reportSurplus();
+        }
+        if (attempt != null) {
+            previousRequestId = attempt.request().id();
+        }
         attempt = null;
         complete = false;
         head = null;
+        decoder.expectNothing();
         if (unusable) {
             var _ = channel.close();
         } else if (channel.isActive()) {
@@ -328,6 +365,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         connectionReset |= cause instanceof IOException;
+        if (cause instanceof DecoderException && (attempt == null || complete)) {
+            reportSurplus();
+        }
         endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), connectionReset));
         var _ = ctx.close();
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -30,4 +30,12 @@
      * @param status status of the answer
      */
     void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status);
+
+    /**
+     * Bytes arrived after a whole answer, while no other request was running on the connection.
+     *
+     * @param server the server
+     * @param requestId identifier of the request that was answered, empty if there was none
+     */
+    void surplusReceived(RegisteredServer server, String requestId);
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
@@ -31,7 +31,7 @@
      * Returns the identifier of the request that an answer belongs to.
      *
      * @param headers headers of the answer
-     * @return the request identifier, or empty if the answer has none
+     * @return the request identifier, or empty if the answer has none; several are joined, so that they equal none
      */
     Optional<String> answeredRequestId(HttpHeaders headers);
 
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
@@ -52,7 +52,8 @@
 
     @Override
     public Optional<String> answeredRequestId(HttpHeaders headers) {
-        return Optional.ofNullable(headers.get("X-Id"));
+        List<String> ids = headers.getAll("X-Id");
+        return ids.isEmpty() ? Optional.empty() : Optional.of(String.join(", ", ids));
     }
 
     @Override
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -42,6 +42,9 @@
 
         @Override
         public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {}
+
+        @Override
+        public void surplusReceived(RegisteredServer server, String requestId) {}
     };
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -64,14 +67,19 @@
 
     /** Sends a request. */
     void send(String id) {
+        send(id, HttpMethod.POST);
+    }
+
+    void send(String id, HttpMethod method) {
         connection.send(new Attempt(
-                new OutgoingRequest(id, HttpMethod.POST, "/", DefaultHttpHeaders::new, new Body(new byte[0])),
-                results::add));
+                new OutgoingRequest(id, method, "/", DefaultHttpHeaders::new, new Body(new byte[0])), results::add));
     }
 
-    /** Receives bytes of the server. */
+    /** Receives bytes of the server in one read; bytes for a connection that is closed are lost. */
     void receive(String bytes) {
-        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        if (channel.isActive()) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        }
     }
 
     /** Receives the end of the connection. */
