Callers: read on after the last reply, so that a reset does not destroy its end

What callers saw: an answer that ended early, if they went on sending after a request with Connection: close, or after one that was rejected, and read slowly.

Cause: the connection was closed once the last reply was handed to the kernel. Bytes of the caller that are unread at that time, or arrive later, make the kernel reset the connection and drop what it has not sent.

Why it works: the VM closes only its side, reads and discards what the caller still sends, and closes when the caller has closed, or after 5 s.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -3,10 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -24,9 +24,12 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
 import org.lycheetray.edge.exchange.Exchange;
@@ -42,6 +45,9 @@
     /** Maximum number of concurrent requests of a connection; reading is suspended while it is reached. */
     private static final int MAX_PIPELINED = 16;
 
+    /** Longest time for which bytes of a caller are read and discarded after the last reply. */
+    private static final Duration LINGER_TIME = Duration.ofSeconds(5);
+
     private final CallerConnectionContext context;
     private final Channel channel;
     private final ArrayDeque<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
@@ -204,10 +210,30 @@
         if (last) {
             closing = true;
             cancelExchanges(ReplyObserver.Cause.CONNECTION_CLOSED);
-            var _ = f.addListener(ChannelFutureListener.CLOSE);
+            var _ = f.addListener(done -> closeAfterLastReply());
+        }
+    }
+
+    /**
+     * Closes the connection once the caller has closed its side, or after the linger time. Closing it while bytes of
+     * the caller are unread would reset it, and the caller would lose the end of its replies.
+     */
+    private void closeAfterLastReply() {
+        if (channel.isActive() && channel instanceof DuplexChannel duplex) {
+            var _ = duplex.shutdownOutput();
+            channel.config().setAutoRead(true);
+            ScheduledFuture<?> linger =
+                    channel.eventLoop().schedule(this::closeChannel, LINGER_TIME.toMillis(), TimeUnit.MILLISECONDS);
+            var _ = channel.closeFuture().addListener(closed -> linger.cancel(false));
+        } else {
+            closeChannel();
         }
     }
 
+    private void closeChannel() {
+        var _ = channel.close();
+    }
+
     private void rejectMalformed(Throwable cause) {
         HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
         if (cause instanceof TooLongHttpHeaderException) {
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
@@ -0,0 +1,77 @@
+package org.lycheetray.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the replies of a caller's connection up to its last one. */
+class LastReplyTest {
+    /** Body that is larger than what a socket holds. */
+    private static final String LARGE_BODY = "x".repeat(20 << 20);
+
+    /** End of the large body that is read slowly; more than sockets hold. */
+    private static final int SLOWLY_READ_BYTES = 9 << 20;
+
+    private static final String CLOSE = "Connection: close\r\n";
+    private EdgeFixture edge;
+    private ScriptedBackendServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        edge = new EdgeFixture();
+        server = new ScriptedBackendServer((r, out, s) -> ScriptedBackendServer.write(
+                out,
+                ScriptedBackendServer.signedAnswer(
+                        r.header("X-Id"), r.header("X-Id").equals("large") ? LARGE_BODY : r.header("X-Id"))));
+        edge.configure(1);
+        edge.register("s-0", server, false);
+        edge.awaitReady();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        edge.close();
+        server.close();
+    }
+
+    /** Guards against a reset that destroys the end of an answer because its caller goes on sending. */
+    @Test
+    void answerIsWholeAlthoughItsCallerGoesOnSending() throws Exception {
+        Socket caller = edge.caller();
+        EdgeFixture.send(caller, EdgeFixture.get("/read/1", "large", CLOSE));
+        Thread sender = Thread.ofVirtual().start(() -> sendUntilClosed(caller));
+
+        InputStream in = new BufferedInputStream(caller.getInputStream());
+        byte[] start = in.readNBytes(LARGE_BODY.length() - SLOWLY_READ_BYTES);
+        assertThat(start.length + countSlowly(in)).isGreaterThan(LARGE_BODY.length());
+        caller.close();
+        sender.join();
+    }
+
+    /** Reads to the end so slowly that the VM has written all before, and returns the number of bytes. */
+    private static int countSlowly(InputStream in) throws IOException, InterruptedException {
+        byte[] piece = new byte[65_536];
+        int count = 0;
+        for (int n = in.read(piece); n >= 0; n = in.read(piece)) {
+            count += n;
+            Thread.sleep(2);
+        }
+        return count;
+    }
+
+    private static void sendUntilClosed(Socket caller) {
+        try {
+            while (true) {
+                EdgeFixture.send(caller, "x".repeat(1_000));
+            }
+        } catch (IOException e) {
+            assertThat(e).isNotNull();
+        }
+    }
+}
