Callers: no request behind the last one of a connection is run

What callers saw: a request sent behind one with Connection: close, or behind a rejected one, got no reply, though it may have run. Callers take such a request as not read and send it again.

Cause: the requests behind the last one were started like all others, and dropped with the connection.

Evidence: LastReplyTest.requestBehindTheLastOneIsNotRun failed on the code before: the server ran q1, q2 and q3 instead of q1 and q3. It passes now. requestBehindARejectedOneIsNotRun passed before as well for a body over the limit; it guards the same rule.

Why it works: once the last request is read or rejected, what follows on the connection is discarded.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -59,6 +59,7 @@
     private Optional<MonotonicTime> headStartedAt = Optional.empty();
     private int repliesBeingWritten;
     private long lastUnwrittenBytes;
+    private boolean lastRequestRead;
     private boolean closing;
     private ReplyObserver.Cause closeCause = ReplyObserver.Cause.CALLER_GONE;
 
@@ -95,7 +96,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         try {
-            if (closing) {
+            if (closing || lastRequestRead) {
                 return;
             }
             if (msg instanceof HttpObject o && o.decoderResult().isFailure()) {
@@ -154,6 +155,7 @@
         reservedBytes = 0;
         head = null;
         body = null;
+        lastRequestRead = !HttpUtil.isKeepAlive(r);
         PipelinedRequest pipelined = new PipelinedRequest(r.method(), HttpUtil.isKeepAlive(r));
         pipelinedRequests.addLast(pipelined);
         IncomingRequest request =
@@ -250,6 +252,7 @@
         reservedBytes = 0;
         head = null;
         body = null;
+        lastRequestRead = true;
         PipelinedRequest pipelined = new PipelinedRequest(HttpMethod.GET, false);
         pipelinedRequests.addLast(pipelined);
         channel.config().setAutoRead(false);
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
@@ -74,4 +74,31 @@
             assertThat(e).isNotNull();
         }
     }
+
+    /** Guards against running a request whose answer cannot be delivered. */
+    @Test
+    void requestBehindTheLastOneIsNotRun() throws Exception {
+        Socket caller = edge.caller();
+        EdgeFixture.send(caller, EdgeFixture.get("/read/1", "q1", CLOSE) + EdgeFixture.post("/order/2", "q2", "x"));
+
+        InputStream in = new BufferedInputStream(caller.getInputStream());
+        assertThat(EdgeFixture.read(in).body()).isEqualTo("q1");
+        assertThat(in.read()).isEqualTo(-1);
+        edge.request(EdgeFixture.get("/read/3", "q3", ""));
+        assertThat(server.requests()).extracting(r -> r.header("X-Id")).containsExactly("q1", "q3");
+    }
+
+    @Test
+    void requestBehindARejectedOneIsNotRun() throws Exception {
+        Socket caller = edge.caller();
+        EdgeFixture.send(
+                caller,
+                "POST /order/1 HTTP/1.1\r\nHost: host\r\nX-Id: q1\r\nContent-Length: 1000000000\r\n\r\n"
+                        + EdgeFixture.post("/order/2", "q2", "x"));
+
+        InputStream in = new BufferedInputStream(caller.getInputStream());
+        assertThat(EdgeFixture.read(in).status()).isEqualTo(413);
+        assertThat(in.read()).isEqualTo(-1);
+        assertThat(server.requests()).isEmpty();
+    }
 }
