Callers: an interim reply waits for the replies to earlier requests

What callers saw: 100 Continue for a pipelined request in the place of the reply to an earlier one.

Evidence: LastReplyTest.interimReplyIsSentInTurn failed on the code before: the first reply read was the interim one. It passes now.

Why it works: the interim reply is sent once no earlier request of the connection waits for its reply.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -59,6 +59,7 @@
     private Optional<MonotonicTime> headStartedAt = Optional.empty();
     private int repliesBeingWritten;
     private long lastUnwrittenBytes;
+    private boolean continueExpected;
     private boolean lastRequestRead;
     private boolean closing;
     private ReplyObserver.Cause closeCause = ReplyObserver.Cause.CALLER_GONE;
@@ -123,6 +124,15 @@
         if (HttpUtil.getContentLength(r, 0L) > context.limits().get().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(r)) {
+            continueExpected = true;
+            sendContinueInTurn();
+        }
+    }
+
+    /** Asks for the body that a caller holds back, once the replies to earlier requests are sent. */
+    private void sendContinueInTurn() {
+        if (continueExpected && pipelinedRequests.isEmpty() && !closing) {
+            continueExpected = false;
             var _ = channel.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -155,6 +165,7 @@
         reservedBytes = 0;
         head = null;
         body = null;
+        continueExpected = false;
         lastRequestRead = !HttpUtil.isKeepAlive(r);
         PipelinedRequest pipelined = new PipelinedRequest(r.method(), HttpUtil.isKeepAlive(r));
         pipelinedRequests.addLast(pipelined);
@@ -172,6 +183,7 @@
             writeReply(pipelinedRequests.removeFirst());
         }
         channel.flush();
+        sendContinueInTurn();
         if (pipelinedRequests.size() < MAX_PIPELINED && !channel.config().isAutoRead()) {
             channel.config().setAutoRead(true);
         }
@@ -252,6 +264,7 @@
         reservedBytes = 0;
         head = null;
         body = null;
+        continueExpected = false;
         lastRequestRead = true;
         PipelinedRequest pipelined = new PipelinedRequest(HttpMethod.GET, false);
         pipelinedRequests.addLast(pipelined);
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
@@ -6,12 +6,16 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests the replies of a caller's connection up to its last one. */
 class LastReplyTest {
+    private static final long TIMEOUT_S = 20;
+
     /** Body that is larger than what a socket holds. */
     private static final String LARGE_BODY = "x".repeat(20 << 20);
 
@@ -101,4 +105,33 @@
         assertThat(in.read()).isEqualTo(-1);
         assertThat(server.requests()).isEmpty();
     }
+
+    /** Guards against an interim reply in the place of the reply to an earlier request. */
+    @Test
+    void interimReplyIsSentInTurn() throws Exception {
+        CountDownLatch expectationSent = new CountDownLatch(1);
+        server.script((r, out, s) -> {
+            await(expectationSent);
+            ScriptedBackendServer.signed(r.header("X-Id")).answer(r, out, s);
+        });
+        Socket caller = edge.caller();
+        String second = EdgeFixture.post("/order/2", "q2", "x").replace("Host", "Expect: 100-continue\r\nHost");
+        EdgeFixture.send(caller, EdgeFixture.get("/read/1", "q1", "") + second.substring(0, second.length() - 1));
+        edge.request(EdgeFixture.get("/none", "q0", ""));
+        expectationSent.countDown();
+
+        InputStream in = new BufferedInputStream(caller.getInputStream());
+        assertThat(EdgeFixture.read(in).body()).isEqualTo("q1");
+        assertThat(EdgeFixture.read(in).status()).isEqualTo(100);
+        EdgeFixture.send(caller, "x");
+        assertThat(EdgeFixture.read(in).body()).isEqualTo("q2");
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(TIMEOUT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
