Callers: a reply that cannot be written ends its connection

Found by reading, not reproduced: if writing a reply fails without an I/O error (for example because memory for its bytes is missing), the reply is lost while the connection stays open, and the next reply takes its place: the caller of a pipelined request gets an answer to another one. The connection is now closed.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -218,6 +218,9 @@
             lastUsedAt = context.clock().monotonic();
             if (!done.isSuccess()) {
                 context.observer().replyNotDelivered(pipelined.id(), reply.status(), closeCause);
+                // The next reply must not take the place of this one.
+                closing = true;
+                var _ = channel.close();
             }
         });
         lastUsedAt = context.clock().monotonic();
