--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -33,7 +33,10 @@
             false,
             Duration.ZERO);
 
-    static final ServerEvents NO_EVENTS = new ServerEvents() {
+    static final ServerEvents NO_EVENTS = new SurplusRecorder(new ArrayList<>());
+
+    /** Records the requests after whose answers surplus bytes arrived. */
+    private record SurplusRecorder(List<String> requestIds) implements ServerEvents {
         @Override
         public void idleConnectionLost(RegisteredServer server) {}
 
@@ -44,9 +47,12 @@
         public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {}
 
         @Override
-        public void surplusReceived(RegisteredServer server, String requestId) {}
-    };
+        public void surplusReceived(RegisteredServer server, String requestId) {
+            requestIds.add(requestId);
+        }
+    }
 
+    private final List<String> surplus = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<AttemptResult> results = new ArrayList<>();
     private final BackendConnection connection;
@@ -61,7 +67,7 @@
                 new BodyBudget(1 << 20),
                 () -> {},
                 SERVER,
-                NO_EVENTS);
+                new SurplusRecorder(surplus));
         channel.pipeline().addLast(decoder, connection);
     }
 
@@ -95,4 +101,9 @@
     List<AttemptResult> results() {
         return results;
     }
+
+    /** Identifiers of the requests after whose answers surplus bytes arrived. */
+    List<String> surplus() {
+        return surplus;
+    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/RepeatedAnswerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/RepeatedAnswerTest.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -100,6 +102,31 @@
         assertThat(faults).isEmpty();
     }
 
+    /** Guards against second answers that leave no trace in logs and metrics. */
+    @ParameterizedTest
+    @EnumSource(Delivery.class)
+    void secondAnswerBeforeTheNextRequestIsReportedOnce(Delivery delivery) {
+        BackendConnectionFixture c = new BackendConnectionFixture();
+        c.send("q1");
+
+        delivery.receive(c, signed("200 OK", "q1", BODY), signed("200 OK", "q1", REPEATED_BODY));
+
+        assertThat(c.surplus()).containsExactly("q1");
+        assertThat(c.isReusable()).isFalse();
+    }
+
+    @Test
+    void answerThatEndsWithItsConnectionHasNoSurplus() {
+        BackendConnectionFixture c = new BackendConnectionFixture();
+        c.send("q1");
+
+        c.receive("HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signed: 1\r\n\r\n" + BODY);
+        c.receiveClose();
+
+        assertThat(c.results()).hasSize(1);
+        assertThat(c.surplus()).isEmpty();
+    }
+
     /** The second answer stops at any byte and is followed by the answer to the next request. */
     @ParameterizedTest
     @MethodSource("repeatedAnswers")
@@ -176,7 +203,7 @@
     }
 
     /** How two runs of bytes arrive at the connection. */
-    private enum Delivery {
+    enum Delivery {
         ONE_READ {
             @Override
             void receive(BackendConnectionFixture c, String first, String second) {
