--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -33,7 +33,10 @@
             false,
             Duration.ZERO);
 
-    static final ServerEvents NO_EVENTS = new ServerEvents() {
+    static final ServerEvents NO_EVENTS = new SurplusRecorder(new ArrayList<>());
+
+    /** Records the requests after whose answers surplus bytes arrived. */
+    private record SurplusRecorder(List<String> requestIds) implements ServerEvents {
         @Override
         public void idleConnectionLost(RegisteredServer server) {}
 
@@ -42,8 +45,14 @@
 
         @Override
         public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {}
-    };
 
+        @Override
+        public void surplusReceived(RegisteredServer server, String requestId) {
+            requestIds.add(requestId);
+        }
+    }
+
+    private final List<String> surplus = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<AttemptResult> results = new ArrayList<>();
     private final BackendConnection connection;
@@ -58,20 +67,25 @@
                 new BodyBudget(1 << 20),
                 () -> {},
                 SERVER,
-                NO_EVENTS);
+                new SurplusRecorder(surplus));
         channel.pipeline().addLast(decoder, connection);
     }
 
     /** Sends a request. */
     void send(String id) {
+        send(id, HttpMethod.POST);
+    }
+
+    void send(String id, HttpMethod method) {
         connection.send(new Attempt(
-                new OutgoingRequest(id, HttpMethod.POST, "/", DefaultHttpHeaders::new, new Body(new byte[0])),
-                results::add));
+                new OutgoingRequest(id, method, "/", DefaultHttpHeaders::new, new Body(new byte[0])), results::add));
     }
 
-    /** Receives bytes of the server. */
+    /** Receives bytes of the server in one read; bytes for a connection that is closed are lost. */
     void receive(String bytes) {
-        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        if (channel.isActive()) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        }
     }
 
     /** Receives the end of the connection. */
@@ -87,4 +101,9 @@
     List<AttemptResult> results() {
         return results;
     }
+
+    /** Identifiers of the requests after whose answers surplus bytes arrived. */
+    List<String> surplus() {
+        return surplus;
+    }
 }
