Heed servers that announce their leaving or request a pause

What callers would see: requests sent to a server that has announced its leaving in its answers, which may end with the server; and requests sent to servers that refuse with a time to return, each refused again, where the callers could have been told at once when to return. Change: ServerAvailability keeps the statements of each incarnation; placement excludes servers that leave or are paused, spreads the ends of pauses and lets one request at a time try afterwards. A request whose servers are all paused is refused with the end of the first pause.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -112,6 +112,7 @@
     private Set<DataCentreName> evacuated = Set.of();
     private Map<ServiceName, TrafficService> servicesByName = Map.of();
     private final ServerRates serverRates;
+    private final ServerAvailability availability;
     private final Map<BackendServerName, MonotonicTime> suspectedAt = new HashMap<>();
 
     /**
@@ -126,6 +127,7 @@
         settings.regions().values().forEach(r -> demand.merge(r, 1.0, Double::sum));
         this.shiftLimiter = new RegionShiftLimiter(settings.maxShift());
         this.serverRates = new ServerRates(settings);
+        this.availability = new ServerAvailability(random);
     }
 
     /**
@@ -297,6 +299,10 @@
             return refuse("no-server", NO_SERVER_RETRY_AFTER);
         }
         MonotonicTime until = request.received().plus(scaled(request.route().targetLatency(), HOLD_SHARE));
+        Optional<MonotonicTime> pauseEnd = endOfPauses(request, now);
+        if (pauseEnd.filter(until::isBefore).isPresent()) {
+            return refuse("server-pause", pauseEnd.get().since(now));
+        }
         Optional<Duration> limited = timeToLimitedServer(request, now);
         if (limited.isPresent() && until.isBefore(now.plus(limited.get()))) {
             return refuse("server-limit", limited.get());
@@ -306,13 +312,24 @@
                 : new PlacementDecision.Hold(until);
     }
 
+    /** Returns the end of the first pause if all servers have requested a pause. */
+    private Optional<MonotonicTime> endOfPauses(PlacementRequest request, MonotonicTime now) {
+        List<Optional<MonotonicTime>> ends = byService.getOrDefault(request.service(), List.of()).stream()
+                .filter(s -> isEligible(s, request))
+                .map(s -> availability.pausedUntil(s.server(), now))
+                .toList();
+        return ends.stream().allMatch(Optional::isPresent)
+                ? ends.stream().flatMap(Optional::stream).min(Comparator.naturalOrder())
+                : Optional.empty();
+    }
+
     /**
      * Returns the time until this VM may send a request to one of the limited servers; empty unless the limits of the
      * servers are what prevents it now.
      */
     private Optional<Duration> timeToLimitedServer(PlacementRequest request, MonotonicTime now) {
         List<ServerState> allowed = byService.getOrDefault(request.service(), List.of()).stream()
-                .filter(s -> isEligible(s, request) && !s.isPaused(now))
+                .filter(s -> isEligible(s, request) && isOpen(s, now))
                 .toList();
         if (allowed.isEmpty() || !allowed.stream().allMatch(s -> serverRates.isLimited(s, now))) {
             return Optional.empty();
@@ -332,7 +349,7 @@
             }
         }
         List<ServerState> considered =
-                allowed.stream().filter(s -> !s.isPaused(now)).toList();
+                allowed.stream().filter(s -> isOpen(s, now)).toList();
         List<Candidate> result = new ArrayList<>(considered.size());
         ProcessingTimes times = times(request.route());
         Set<RegionName> open = openRegions(considered, now);
@@ -357,9 +374,14 @@
         return open.isEmpty() ? all : open;
     }
 
+    private boolean isOpen(ServerState s, MonotonicTime now) {
+        return !s.isPaused(now) && availability.accepts(s.server(), s.inFlight(), now);
+    }
+
     private boolean isEligible(ServerState s, PlacementRequest request) {
         return !request.tried().contains(s.server().name())
                 && !s.server().draining()
+                && !availability.isLeaving(s.server())
                 && !evacuated.contains(s.server().dataCentre())
                 && (request.regions().isEmpty() || request.regions().contains(s.region()));
     }
@@ -513,6 +535,9 @@
             shiftLimiter.suspend(now);
             suspectRestart(send.name(), now);
         }
+        if (outcome instanceof AttemptOutcome.Answered) {
+            availability.recordAnswered(s.server(), now);
+        }
         if (outcome instanceof AttemptOutcome.Answered a && unloaded) {
             times.record(send.affinity(), a.took());
         }
@@ -540,4 +565,13 @@
     public ServerLimits limits() {
         return serverRates.limits();
     }
+
+    /**
+     * Returns which servers have said that they accept no requests.
+     *
+     * @return the availability of the servers
+     */
+    public ServerAvailability availability() {
+        return availability;
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -103,6 +103,7 @@
     private final BackendClient backends;
     private final CallerListener callerListener;
     private final EdgeMetrics metrics;
+    private final ServerObserver serverObserver;
     private final ReportSchedule reportSchedule = new ReportSchedule();
     private volatile EdgeSettings.FleetLimits fleetLimits;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -120,12 +121,9 @@
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
         metrics = new EdgeMetrics(new RequestLog(clock));
+        serverObserver = new ServerObserver(steering, metrics, clock);
         backends = new BackendClient(
-                transport,
-                adapter.backendDialect(),
-                clock,
-                bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR),
-                new ServerObserver(steering, metrics));
+                transport, adapter.backendDialect(), clock, bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR), serverObserver);
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
                 backends,
@@ -188,6 +186,9 @@
         metrics.registerGauge(
                 "lycheetray_limited_servers",
                 () -> steering.placement().limits().limitedServerCount());
+        metrics.registerGauge(
+                "lycheetray_paused_servers",
+                () -> steering.placement().availability().pausedCount(clock.monotonic()));
         metrics.registerGauge(
                 "lycheetray_suspect_requests", () -> steering.suspects().suspectCount());
         metrics.registerGauge(
@@ -217,6 +218,7 @@
 
     private void tick() {
         steering.removeExpiredServers();
+        serverObserver.logEndedPauses();
         exchanges.retryPending();
         MonotonicTime now = clock.monotonic();
         if (reportSchedule.isDue(fleetView.size() + 1, steering.isReportDue(), now)) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.metrics.HdrReservoir;
@@ -65,6 +66,19 @@
                 .with("cause", reason));
     }
 
+    /**
+     * Records that a backend server has announced its leaving or requested a pause.
+     *
+     * @param statement the server's statement
+     */
+    void recordAvailability(AvailabilityStatement statement) {
+        String name = switch (statement) {
+            case AvailabilityStatement.Leaving l -> "lycheetray_servers_leaving_total";
+            case AvailabilityStatement.Paused p -> "lycheetray_server_pauses_total";
+        };
+        registry.counter(name).inc();
+    }
+
     /**
      * Records that an answer did not belong to the request that was running on its connection.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -154,6 +154,7 @@
     }
 
     private void handleHead(HttpResponse r) {
+        reportAvailability(r);
         if (attempt == null || complete) {
             unusable = true;
             var _ = channel.close();
@@ -189,6 +190,17 @@
                 : !answeredBefore && dialect.isNotRun(r.status().code(), r.headers());
     }
 
+    /**
+     * Reports whether the server still accepts requests, also from an answer that belongs to no request: it comes from
+     * this server all the same, unless another one has taken its address.
+     */
+    private void reportAvailability(HttpResponse r) {
+        if (!dialect.isMisdirected(r.status().code())) {
+            dialect.availability(r.status().code(), r.headers())
+                    .ifPresent(a -> events.availabilityStated(server, dialect.answeredRequestId(r.headers()), a));
+        }
+    }
+
     /**
      * Reports the server's rate limit. The absence of a limit is believed only in a signed answer, since a refusal or a
      * malformed answer may lack it for another reason.
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.lycheetray.core.allowance.RateStatement;
+import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 
 /** Receives what connections to backend servers reveal about the servers apart from the results of attempts. */
@@ -21,6 +22,15 @@
      */
     void rateStated(RegisteredServer server, RateStatement statement);
 
+    /**
+     * An answer stated whether the server still accepts requests.
+     *
+     * @param server the server
+     * @param requestId identifier in the answer, empty if it has none
+     * @param statement the statement
+     */
+    void availabilityStated(RegisteredServer server, Optional<String> requestId, AvailabilityStatement statement);
+
     /**
      * An answer was ignored because it does not belong to the request that is running on the connection.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/dialect/BackendDialect.java
@@ -6,6 +6,7 @@
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
+import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.placement.ReportedLoad;
 
 /** Maps request metadata to the headers sent to backend servers, and reads the headers of their answers. */
@@ -75,4 +76,13 @@
      * @return the server's statement
      */
     RateStatement rateStatement(HttpHeaders headers);
+
+    /**
+     * Returns what an answer says about the requests that the server still accepts.
+     *
+     * @param status status of the answer
+     * @param headers headers of the answer
+     * @return the server's statement; empty if it makes none or it cannot be parsed
+     */
+    Optional<AvailabilityStatement> availability(int status, HttpHeaders headers);
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/TestDialect.java
@@ -9,6 +9,7 @@
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.placement.ReportedLoad;
 import org.lycheetray.edge.dialect.BackendDialect;
 import org.lycheetray.edge.dialect.CallerDialect;
@@ -100,4 +101,13 @@
         String value = headers.get("X-Limit");
         return value == null ? new RateStatement.Unlimited() : new RateStatement.Limited(Double.parseDouble(value));
     }
+
+    @Override
+    public Optional<AvailabilityStatement> availability(int status, HttpHeaders headers) {
+        if (headers.contains("X-Leaving")) {
+            return Optional.of(new AvailabilityStatement.Leaving());
+        }
+        return Optional.ofNullable(headers.get("X-Pause-Ms"))
+                .map(s -> new AvailabilityStatement.Paused(Duration.ofMillis(Long.parseLong(s))));
+    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -14,6 +14,7 @@
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.request.Body;
@@ -40,6 +41,10 @@
         @Override
         public void rateStated(RegisteredServer server, RateStatement statement) {}
 
+        @Override
+        public void availabilityStated(
+                RegisteredServer server, Optional<String> requestId, AvailabilityStatement statement) {}
+
         @Override
         public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {}
     };
