Retries: a VM takes a part of the fleet's extra only while it knows the fleet

Cause: FleetRetryBudget and TrafficSteering counted VMs on their own and began with 1, so that "not known yet" and "alone" were one value. The part of the fixed extra grew when VMs fell silent for 60 s, although silence does not show that they have stopped, and applied at once to a new process, although the process before it might have spent the same part in the same window. VMs that were silent to each other for 60 s sent each other no reports any more, so each stayed alone for good.

What a VM knows of its fleet is now one sealed type (FleetKnowledge: not known, joining, known, out of touch), from which parts are taken. A VM counts until it leaves as planned, also when it is silent, and lost VMs get every eighth report. The usable part of the extra is the smallest that the VM held within the window; the parts used in one window were therefore all held at its start, where their sum is at most 1.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/allowance/FleetRetryBudget.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/allowance/FleetRetryBudget.java
@@ -4,14 +4,17 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import org.lycheetray.core.fleet.FleetKnowledge;
 import org.lycheetray.core.model.ServiceName;
 import org.lycheetray.core.time.MonotonicTime;
 
 /**
  * Limits the retries of this VM for each service in a sliding window, as its part of a limit for the whole fleet.
  *
- * <p>Each VM may send retries in proportion to its own requests, plus an equal part of a fixed number of extra retries.
- * The fleet thus stays within its limit without exchanging messages. Not thread-safe.
+ * <p>Each VM may send retries in proportion to its own requests, whatever it knows of the fleet, plus an equal part of a
+ * fixed number of extra retries if it knows the fleet. Its part is the smallest of those that it had at any time within
+ * the window. Therefore the parts that are used in one window were all held at the start of that window, and a process
+ * does not use a part that the process before it may have used. Not thread-safe.
  */
 public final class FleetRetryBudget {
     /**
@@ -22,7 +25,10 @@
 
     private RetryLimits limits;
     private final Map<ServiceName, Window> windows = new HashMap<>();
-    private int vmCount = 1;
+    private final ArrayDeque<PartChange> parts = new ArrayDeque<>();
+
+    /** Part of the extra retries that this VM holds from a time on. */
+    private record PartChange(MonotonicTime at, double part) {}
 
     /** Times of requests and retries within the window, oldest first. */
     private static final class Window {
@@ -46,6 +52,7 @@
      */
     public FleetRetryBudget(RetryLimits limits) {
         this.limits = limits;
+        parts.add(new PartChange(MonotonicTime.ZERO, FleetKnowledge.initial().spendablePart()));
     }
 
     /**
@@ -58,12 +65,16 @@
     }
 
     /**
-     * Sets the number of VMs that share the limits.
+     * Applies what is known of the fleet that shares the limits.
      *
-     * @param count number of VMs, including this one
+     * @param fleet the knowledge
+     * @param now current time
      */
-    public void updateVmCount(int count) {
-        vmCount = Math.max(1, count);
+    public void updateFleet(FleetKnowledge fleet, MonotonicTime now) {
+        double part = fleet.spendablePart();
+        if (part != parts.getLast().part()) {
+            parts.addLast(new PartChange(now, part));
+        }
     }
 
     /**
@@ -78,20 +89,42 @@
     }
 
     /**
-     * Records a retry if the limit allows it.
+     * Returns whether the limit allows a retry now, without recording one.
+     *
+     * @param service service of the retry
+     * @param now current time
+     * @return true if a retry could be sent at this time
+     */
+    public boolean allowsRetry(ServiceName service, MonotonicTime now) {
+        Window w = window(service, now);
+        double max = SAFETY_FACTOR * (limits.ratio() * w.requests.size() + limits.extra() * usablePart(now));
+        return w.retries.size() + 1 <= max;
+    }
+
+    /**
+     * Records a retry if the limit allows it. To be called when the retry is sent: one that is recorded earlier and sent
+     * later is counted in the wrong window.
      *
      * @param service service of the retry
      * @param now current time
      * @return true if the retry may be sent, false if the limit is reached
      */
     public boolean tryAcquireRetry(ServiceName service, MonotonicTime now) {
-        Window w = window(service, now);
-        double max = SAFETY_FACTOR * (limits.ratio() * w.requests.size() + limits.extra() / vmCount);
-        if (w.retries.size() + 1 > max) {
-            return false;
+        boolean allowed = allowsRetry(service, now);
+        if (allowed) {
+            window(service, now).retries.addLast(now);
+        }
+        return allowed;
+    }
+
+    /** Returns the smallest part within the window. */
+    private double usablePart(MonotonicTime now) {
+        PartChange first = parts.removeFirst();
+        while (!parts.isEmpty() && now.since(parts.getFirst().at()).compareTo(limits.window()) > 0) {
+            first = parts.removeFirst();
         }
-        w.retries.addLast(now);
-        return true;
+        parts.addFirst(first);
+        return parts.stream().mapToDouble(PartChange::part).min().orElse(0);
     }
 
     private Window window(ServiceName service, MonotonicTime now) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -30,9 +30,18 @@
      */
     public static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
-    /** Time without a report after which a VM is removed from the view and its quota shares go to the other VMs. */
+    /**
+     * Time without a report after which a VM is lost: it is removed from the view and its quota shares go to the other
+     * VMs. It still counts for all other limits, because silence does not show that it has stopped.
+     */
     public static final Duration REMOVAL_TIMEOUT = Duration.ofMinutes(1);
 
+    /** Time without reports of the majority after which this VM is out of touch: several intervals of a large fleet. */
+    public static final Duration TOUCH_TIMEOUT = Duration.ofSeconds(5);
+
+    /** Every how many reports lost VMs receive one too, so that the parts of a divided fleet find each other again. */
+    private static final int LOST_VM_REPORT_INTERVAL = 8;
+
     /**
      * Number of other VMs from which reports are relayed by region. In smaller fleets it is cheap and faster to send
      * each report to all VMs.
@@ -48,6 +57,7 @@
         private MonotonicTime lastReportAt;
         private boolean hasReported;
         private boolean serving;
+        private boolean hasServed;
 
         KnownVm(FleetMember member, MonotonicTime now) {
             this.member = member;
@@ -59,6 +69,11 @@
     private final Map<DataCentreName, RegionName> regions;
     private final Map<VmName, KnownVm> others = new HashMap<>();
     private final Map<VmName, Departed> departed = new HashMap<>();
+    private final Map<VmName, FleetMember> lost = new HashMap<>();
+    private Optional<Boolean> recordedBefore = Optional.empty();
+    private boolean allRead;
+    private boolean confirmed;
+    private FleetKnowledge knowledge = FleetKnowledge.initial();
 
     /**
      * Creates a view without any other VMs.
@@ -79,17 +94,26 @@
      * @param now current time
      */
     public void addRecordedVms(Collection<FleetMember> records, MonotonicTime now) {
+        if (recordedBefore.isEmpty()) {
+            recordedBefore = Optional.of(records.stream().anyMatch(m -> m.vm().equals(localVm)));
+        }
         for (FleetMember m : records) {
             KnownVm k = others.get(m.vm());
             Departed d = departed.get(m.vm());
             boolean newer = (k == null || k.member.incarnation() < m.incarnation())
                     && (d == null || d.incarnation() < m.incarnation());
             if (!m.vm().equals(localVm) && newer) {
+                lost.remove(m.vm());
                 others.put(m.vm(), new KnownVm(m, now));
             }
         }
     }
 
+    /** Records that the VMs recorded in the store were read after this VM had written its own record. */
+    public void recordAllRead() {
+        allRead = true;
+    }
+
     /**
      * Applies a status report of another VM.
      *
@@ -109,16 +133,21 @@
         if (!newer) {
             return false;
         }
+        lost.remove(member.vm());
+        if (member.incarnation() > k.member.incarnation()) {
+            k.hasServed = false;
+        }
         k.member = member;
         k.sequence = sequence;
         k.lastReportAt = now;
         k.hasReported = true;
         k.serving = serving;
+        k.hasServed |= serving;
         return true;
     }
 
     /**
-     * Removes VMs that shut down as planned or have not reported within {@link #REMOVAL_TIMEOUT}.
+     * Removes VMs that shut down as planned. VMs that have not reported within {@link #REMOVAL_TIMEOUT} become lost.
      *
      * @param now current time
      */
@@ -126,13 +155,65 @@
         departed.values().removeIf(d -> now.since(d.removedAt()).compareTo(REMOVAL_TIMEOUT) > 0);
         others.values().removeIf(k -> {
             boolean left = k.hasReported && !k.serving && isSilent(k, now);
+            boolean expired = now.since(k.lastReportAt).compareTo(REMOVAL_TIMEOUT) > 0;
             if (left) {
                 departed.put(k.member.vm(), new Departed(k.member.incarnation(), now));
             }
-            return left || now.since(k.lastReportAt).compareTo(REMOVAL_TIMEOUT) > 0;
+            // A VM that is starting does not serve either.
+            if (left ? !k.hasServed : expired) {
+                lost.put(k.member.vm(), k.member);
+            }
+            return left || expired;
         });
     }
 
+    /**
+     * Returns what is known of the VMs that share the limits of the fleet.
+     *
+     * <p>A VM counts until it shuts down as planned, also when it is silent: it may be running and using its share. A
+     * process of a VM that was recorded before is counted by all others. A new VM is counted by them once they have
+     * received its reports, which it takes to be the case when all of them have reported to it.
+     *
+     * @param now current time
+     * @return the knowledge, as of now
+     */
+    public FleetKnowledge knowledge(MonotonicTime now) {
+        int vms = others.size() + lost.size() + 1;
+        long reporting = 1
+                + others.values().stream()
+                        .filter(k -> k.hasReported && now.since(k.lastReportAt).compareTo(TOUCH_TIMEOUT) <= 0)
+                        .count();
+        boolean inTouch = 2 * reporting > vms;
+        boolean counted = recordedBefore.orElse(false) || reporting == vms;
+        confirmed |= allRead && inTouch && counted;
+        FleetKnowledge next;
+        if (recordedBefore.isEmpty()) {
+            return knowledge;
+        } else if (!confirmed) {
+            next = new FleetKnowledge.Joining(vms, knowledge.version() + 1, now);
+        } else if (inTouch) {
+            next = new FleetKnowledge.Known(vms, knowledge.version() + 1, now);
+        } else {
+            next = new FleetKnowledge.OutOfTouch(vms, knowledge.version() + 1, now);
+        }
+        if (!next.getClass().equals(knowledge.getClass()) || next.vms() != knowledge.vms()) {
+            knowledge = next;
+        }
+        return knowledge;
+    }
+
+    /**
+     * Returns the data centres of all other VMs that share the limits of the fleet, whether they can be reached or not.
+     *
+     * @return data centre of each VM
+     */
+    public Map<VmName, DataCentreName> sharers() {
+        Map<VmName, DataCentreName> sharers = new HashMap<>();
+        lost.values().forEach(m -> sharers.put(m.vm(), m.dataCentre()));
+        members().forEach(m -> sharers.put(m.vm(), m.dataCentre()));
+        return sharers;
+    }
+
     /**
      * Returns all known other VMs.
      *
@@ -155,10 +236,14 @@
      * @return the recipients
      */
     public ReportRecipients recipients(FleetMember local, long sequence, MonotonicTime now) {
+        List<FleetMember> direct = new ArrayList<>();
+        if (sequence % LOST_VM_REPORT_INTERVAL == 0) {
+            direct.addAll(lost.values());
+        }
         if (others.size() < MIN_VMS_FOR_RELAYS) {
-            return new ReportRecipients(members(), List.of(), false);
+            direct.addAll(members());
+            return new ReportRecipients(direct, List.of(), false);
         }
-        List<FleetMember> direct = new ArrayList<>();
         Map<RegionName, List<FleetMember>> byRegion = new TreeMap<>();
         others.values().forEach(k -> {
             Optional<RegionName> r = region(k.member);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import org.lycheetray.core.fleet.FleetKnowledge;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
 import org.lycheetray.core.fleet.ReportSchedule;
@@ -85,6 +86,8 @@
     /** Longest time for which the planned stop waits for the event loop in one step. */
     private static final Duration STEP_TIMEOUT = Duration.ofMillis(200);
 
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     /** Result of a step of the planned stop that failed or is delayed. */
     private static final int UNKNOWN = -1;
 
@@ -193,6 +196,7 @@
         metrics.registerGauge(
                 "lycheetray_quarantined_requests", () -> steering.suspects().quarantinedCount());
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
+        registerFleetGauges();
         follower.onRestore(registration::onStoreRestored);
         follower.start(this::onRoutingStateChanged);
         registration.start(settings);
@@ -200,6 +204,19 @@
         scheduleEvery(SWEEP_PERIOD, this::sweep);
     }
 
+    private void registerFleetGauges() {
+        for (String state : FleetKnowledge.STATE_NAMES) {
+            metrics.registerGauge(
+                    "lycheetray_fleet_state|state=" + state,
+                    () -> steering.fleet().stateName().equals(state) ? 1 : 0);
+        }
+        metrics.registerGauge("lycheetray_fleet_vms", () -> steering.fleet().vms());
+        metrics.registerGauge("lycheetray_fleet_version", () -> steering.fleet().version());
+        metrics.registerGauge(
+                "lycheetray_fleet_age_seconds",
+                () -> clock.monotonic().since(steering.fleet().since()).toMillis() / MILLIS_PER_SECOND);
+    }
+
     private void scheduleEvery(Duration period, Runnable task) {
         var _ = transport
                 .eventLoop()
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -12,6 +12,7 @@
 import org.lycheetray.core.allowance.FleetRetryBudget;
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.allowance.ServerLimits;
+import org.lycheetray.core.fleet.FleetKnowledge;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
@@ -60,7 +61,7 @@
     private final Set<DataCentreName> evacuatedDataCentres = new HashSet<>();
     private Optional<TrafficConfig> config = Optional.empty();
     private boolean serversKnown;
-    private int vmCount = 1;
+    private FleetKnowledge fleet = FleetKnowledge.initial();
 
     /**
      * Creates an instance without configuration and backend servers.
@@ -445,30 +446,60 @@
     }
 
     /**
-     * Updates the set of other VMs, with which the local VM shares the fleet's limits.
+     * Updates the other VMs, with which the local VM shares the fleet's limits.
      *
-     * @param others the other VMs with their data centres
+     * @param sharers all other VMs with their data centres
+     * @param members names of those that are not lost
      */
-    public void updateVms(Map<VmName, DataCentreName> others) {
-        vmCount = others.size() + 1;
+    public void updateVms(Map<VmName, DataCentreName> sharers, Set<VmName> members) {
         Map<VmName, RegionName> regions = new HashMap<>();
-        others.forEach((vm, dc) -> regions.put(vm, placementSettings.region(dc)));
+        sharers.forEach((vm, dc) -> regions.put(vm, placementSettings.region(dc)));
         placement.updateVms(regions);
-        retryBudget.updateVmCount(vmCount);
-        quota.updateMembers(others.keySet(), clock.monotonic());
+        quota.updateMembers(members, clock.monotonic());
+    }
+
+    /**
+     * Updates what is known of the fleet.
+     *
+     * @param next the knowledge
+     */
+    public void updateFleet(FleetKnowledge next) {
+        if (next.version() == fleet.version()) {
+            return;
+        }
+        MonotonicTime now = clock.monotonic();
+        LogEvent.of("fleet-knowledge-changed")
+                .with("from", fleet.stateName())
+                .with("to", next.stateName())
+                .with("vms", next.vms())
+                .with("vms-before", fleet.vms())
+                .with("version", next.version())
+                .with("age-before-ms", now.since(fleet.since()).toMillis())
+                .info();
+        fleet = next;
+        retryBudget.updateFleet(next, now);
+    }
+
+    /**
+     * Returns what is known of the fleet.
+     *
+     * @return the knowledge
+     */
+    public FleetKnowledge fleet() {
+        return fleet;
     }
 
     /**
      * Returns the number of connections that the local VM may open to one server of a service.
      *
      * @param service the service
-     * @return the local VM's share of the server's connection limit, at least 1
+     * @return the local VM's part of the server's connection limit, at least 1
      */
     public int maxConnections(ServiceName service) {
         int all = config.flatMap(c -> c.service(service))
                 .map(s -> s.maxConnections())
                 .orElse(Integer.MAX_VALUE);
-        return Math.max(1, (int) (USABLE_CONNECTION_SHARE * all / vmCount));
+        return Math.max(1, (int) (USABLE_CONNECTION_SHARE * all * fleet.heldPart()));
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
@@ -107,7 +107,14 @@
     }
 
     private void rereadMembers() {
-        call("read-members-again", store.readMembers(), this::updateMembers, this::rereadMembers);
+        call(
+                "read-members-again",
+                store.readMembers(),
+                members -> {
+                    view.recordAllRead();
+                    updateMembers(members);
+                },
+                this::rereadMembers);
     }
 
     private void updateMembers(List<FleetMember> members) {
@@ -137,13 +144,14 @@
         reportChannel.ifPresent(ReportChannel::send);
     }
 
-    /** Removes VMs that have left from the view. */
+    /** Removes VMs that have left from the view, and updates what is known of the fleet. */
     public void removeExpired() {
         int sizeBefore = view.size();
         view.removeExpired(clock.monotonic());
         if (view.size() != sizeBefore) {
             reportChannel.ifPresent(ReportChannel::updateMembers);
         }
+        reportChannel.ifPresent(ReportChannel::updateKnowledge);
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
@@ -267,12 +267,16 @@
 
     /** Updates the set of VMs that share the fleet-wide limits. */
     public void updateMembers() {
-        Map<VmName, DataCentreName> others = new HashMap<>();
-        view.members().forEach(m -> others.put(m.vm(), m.dataCentre()));
-        steering.updateVms(others);
+        steering.updateVms(view.sharers(), view.names());
+        updateKnowledge();
         LogEvent.of("members-changed").with("vms", view.size() + 1).info();
     }
 
+    /** Updates what is known of the fleet, which also changes with time. */
+    public void updateKnowledge() {
+        steering.updateFleet(view.knowledge(clock.monotonic()));
+    }
+
     @Override
     public void close() {
         var _ = socket.close();
