Retries: the budget is charged when a retry is sent, not when it is wished

A retry took its token when the attempt before it ended. If no server had room it then waited for up to the timeout of its route, and was sent in a later window together with the retries that were charged there.

RetryCharge checks the budget when a retry is decided on and takes the token when it is sent. One that finds none then is answered with what it has, or refused if the request has not run. An attempt after one whose connection was not established uses the token already paid.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -18,7 +18,6 @@
 import java.util.function.Consumer;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ConfigVersion;
-import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.ServiceName;
 import org.lycheetray.core.placement.AttemptOutcome;
 import org.lycheetray.core.placement.PlacementDecision;
@@ -61,9 +60,6 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    /** Placeholder that matches no server, used if the route and the account have no region in common. */
-    private static final RegionName NO_COMMON_REGION = new RegionName("nowhere");
-
     /** Retry-After once no further attempt is allowed; an overloaded server has usually freed capacity by then. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(150);
 
@@ -94,6 +90,7 @@
     private int attemptCount;
     private int lostConnections;
     private boolean mayHaveRun;
+    private RetryCharge retryCharge;
     private Optional<AttemptResult.Answer> fallbackAnswer = Optional.empty();
     private final List<RunningAttempt> runningAttempts = new ArrayList<>();
 
@@ -217,10 +214,18 @@
         ServiceName s = context.steering().selectService(r);
         service = Optional.of(s);
         context.steering().retryBudget().recordRequest(s, now());
+        retryCharge = new RetryCharge(context.steering().retryBudget(), s);
         Optional<String> object = r.sticky() ? context.callers().objectName(request.headers()) : Optional.empty();
         MonotonicTime target = request.received().plus(r.targetLatency());
         placement = new PlacementRequest(
-                r, s, object, allowedRegions(r), request.received(), target, deadline, triedServers);
+                r,
+                s,
+                object,
+                AllowedRegionsUtil.regions(r, account),
+                request.received(),
+                target,
+                deadline,
+                triedServers);
         MonotonicTime expiry = deadline.plus(DEADLINE_GRACE);
         long remaining = Math.max(
                 0,
@@ -230,16 +235,6 @@
         deadlineTimer = context.loop().schedule(this::deadlineReached, remaining, TimeUnit.NANOSECONDS);
     }
 
-    private Set<RegionName> allowedRegions(TrafficRoute r) {
-        Set<RegionName> accountRegions = account.map(AccountPolicy::regions).orElse(Set.of());
-        if (accountRegions.isEmpty() || r.regions().isEmpty()) {
-            return accountRegions.isEmpty() ? r.regions() : accountRegions;
-        }
-        Set<RegionName> common = new HashSet<>(accountRegions);
-        common.retainAll(r.regions());
-        return common.isEmpty() ? Set.of(NO_COMMON_REGION) : common;
-    }
-
     void retryPlacement() {
         if (!finished && pending && !refuseIfQuarantined()) {
             place();
@@ -251,7 +246,12 @@
         switch (d) {
             case PlacementDecision.Send s -> {
                 removeFromPending();
-                send(s);
+                if (retryCharge.tryPay(now())) {
+                    send(s);
+                } else {
+                    appendToAttemptLog("no-retry-budget");
+                    endUnplaced(Outcome.NO_ROOM, MIN_RETRY_AFTER);
+                }
             }
             case PlacementDecision.Hold h -> {
                 if (!pending) {
@@ -326,7 +326,8 @@
             return;
         }
         if (context.steering().placement().decide(placement, now()) instanceof PlacementDecision.Send s
-                && canRetry(true)) {
+                && canRetry(true)
+                && retryCharge.tryPay(now())) {
             appendToAttemptLog(r.decision().name() + " overdue");
             send(s);
         } else {
@@ -479,7 +480,7 @@
         }
         return attemptCount < placement.route().maxAttempts()
                 && now().isBefore(deadline)
-                && (!reachedServer || context.steering().retryBudget().tryAcquireRetry(placement.service(), now()));
+                && (!reachedServer || retryCharge.tryRequire(now()));
     }
 
     /** Returns whether the request may be sent to a further server although one may have begun to run it. */
