--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetKnowledge.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetKnowledge.java
@@ -9,6 +9,9 @@
  * <p>Every part of such a limit is taken from it, so that a VM that knows little never takes a large part.
  */
 public sealed interface FleetKnowledge {
+    /** Number of VMs assumed while it is not known, for what a VM must hold to work at all. */
+    int ASSUMED_VMS = 100;
+
     /** Names of all states, for logs and metrics. */
     List<String> STATE_NAMES = List.of("not-known", "joining", "known", "out-of-touch");
 
@@ -62,10 +65,10 @@
      * Returns the part of a limit of which this VM may hold something for as long as it needs it. It is kept while the
      * VM is out of touch, because no other VM takes it over.
      *
-     * @return 1 / number of VMs, or 0 if that number is not known
+     * @return 1 / number of VMs, or 1 / {@link #ASSUMED_VMS} if that number is not known
      */
     default double heldPart() {
-        return vms() == 0 ? 0 : 1.0 / vms();
+        return 1.0 / (vms() == 0 ? ASSUMED_VMS : vms());
     }
 
     /**
--- a/lycheetray-core/src/test/java/org/lycheetray/core/allowance/FleetRetryBudgetPropertyTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/allowance/FleetRetryBudgetPropertyTest.java
@@ -123,4 +123,25 @@
 
         assertThat(fleet.smallestView()).isEqualTo(4);
     }
+
+    @Test
+    void vmThatIsAloneUsesTheExtraRetriesOneWindowAfterItsStart() {
+        fleet.setRequestsPerStep(0);
+        fleet.startAll(1);
+        fleet.run(WINDOW.plus(HALF_A_WINDOW));
+
+        assertThat(fleet.peakUsedFraction()).isGreaterThan(0.8);
+    }
+
+    @Test
+    void vmsUseTheExtraRetriesOneWindowAfterTheTableOfVmsReturns() {
+        fleet.setRequestsPerStep(0);
+        fleet.setTableReadable(false);
+        fleet.startAll(8);
+        fleet.run(WINDOW);
+        fleet.setTableReadable(true);
+        fleet.run(WINDOW.plus(HALF_A_WINDOW));
+
+        assertThat(fleet.peakUsedFraction()).isGreaterThan(0.8);
+    }
 }
