Retries: a restarted VM takes its part only when all others count it

VMs joined and restarted while another VM was cut off. Their names were in the table, so they were taken for counted by all, but the VM that was cut off had never heard of them and went on with its larger part.

Changed test: FleetKnowledgeTest.restartedVmOnlyNeedsReportsOfTheMajority stated the faulty rule; restartedVmSpendsNothingUntilAllOthersHaveReported takes its place and is stricter.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/allowance/RateShares.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/allowance/RateShares.java
@@ -15,8 +15,8 @@
  * <p>A rate of a few requests per second cannot be divided among all VMs of a large fleet: each VM would have to save
  * its share for minutes, and all VMs together could then send at once. Therefore only a few VMs use each server, those
  * in its region first. All VMs select them alike by rendezvous hashing, without messages, so the sum stays within the
- * rate also while the fleet is partitioned: the shares of unreachable VMs stay theirs until they are removed from the
- * fleet. Not thread-safe.
+ * rate also while the fleet is partitioned: the shares of unreachable VMs stay theirs until they leave as planned. A VM
+ * that does not know the other VMs yet has no shares. Not thread-safe.
  */
 public final class RateShares {
     private final VmName localVm;
--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -70,7 +70,7 @@
     private final Map<VmName, KnownVm> others = new HashMap<>();
     private final Map<VmName, Departed> departed = new HashMap<>();
     private final Map<VmName, FleetMember> lost = new HashMap<>();
-    private Optional<Boolean> recordedBefore = Optional.empty();
+    private boolean recordsRead;
     private boolean allRead;
     private boolean confirmed;
     private FleetKnowledge knowledge = FleetKnowledge.initial();
@@ -94,9 +94,7 @@
      * @param now current time
      */
     public void addRecordedVms(Collection<FleetMember> records, MonotonicTime now) {
-        if (recordedBefore.isEmpty()) {
-            recordedBefore = Optional.of(records.stream().anyMatch(m -> m.vm().equals(localVm)));
-        }
+        recordsRead = true;
         for (FleetMember m : records) {
             KnownVm k = others.get(m.vm());
             Departed d = departed.get(m.vm());
@@ -170,9 +168,9 @@
     /**
      * Returns what is known of the VMs that share the limits of the fleet.
      *
-     * <p>A VM counts until it shuts down as planned, also when it is silent: it may be running and using its share. A
-     * process of a VM that was recorded before is counted by all others. A new VM is counted by them once they have
-     * received its reports, which it takes to be the case when all of them have reported to it.
+     * <p>A VM counts until it shuts down as planned, also when it is silent: it may be running and using its share. A new
+     * process is counted by all others once they have received its reports, which it takes to be the case when all of
+     * them have reported to it at one time.
      *
      * @param now current time
      * @return the knowledge, as of now
@@ -184,10 +182,9 @@
                         .filter(k -> k.hasReported && now.since(k.lastReportAt).compareTo(TOUCH_TIMEOUT) <= 0)
                         .count();
         boolean inTouch = 2 * reporting > vms;
-        boolean counted = recordedBefore.orElse(false) || reporting == vms;
-        confirmed |= allRead && inTouch && counted;
+        confirmed |= allRead && reporting == vms;
         FleetKnowledge next;
-        if (recordedBefore.isEmpty()) {
+        if (!recordsRead) {
             return knowledge;
         } else if (!confirmed) {
             next = new FleetKnowledge.Joining(vms, knowledge.version() + 1, now);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/allowance/FleetRetryBudgetPropertyTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/allowance/FleetRetryBudgetPropertyTest.java
@@ -112,6 +112,21 @@
         assertThat(fleet.peakUsedFraction()).isLessThanOrEqualTo(1);
     }
 
+    @Test
+    void vmsThatRestartBeforeOneThatIsCutOffKnowsThemRepeatWithinTheLimit() {
+        fleet.setRequestsPerStep(0);
+        fleet.startAll(1);
+        fleet.run(WINDOW.multipliedBy(2));
+        fleet.isolate(0);
+        for (int i = 0; i < 2; i++) {
+            fleet.start(1);
+            fleet.start(2);
+            fleet.run(WINDOW.multipliedBy(2));
+        }
+
+        assertThat(fleet.peakUsedFraction()).isLessThanOrEqualTo(1);
+    }
+
     @Test
     void vmsThatWereDividedForLongFindEachOtherAgain() {
         fleet.startAll(4);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetKnowledgeTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetKnowledgeTest.java
@@ -67,11 +67,11 @@
     }
 
     @Test
-    void restartedVmOnlyNeedsReportsOfTheMajority() {
-        readAll("self", "a", "lost");
+    void restartedVmSpendsNothingUntilAllOthersHaveReported() {
+        readAll("self", "a", "cut-off");
         report("a", 1, true, START);
 
-        assertThat(view.knowledge(START).spendablePart()).isEqualTo(1.0 / 3);
+        assertThat(view.knowledge(START).spendablePart()).isZero();
     }
 
     @Test
