--- a/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/quota/FleetQuotaTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.VmName;
@@ -33,6 +34,7 @@
         private final boolean partial;
         private int reportCount;
         private long nowMs;
+        private int partCount = 1;
 
         Fleet(int size) {
             this(size, false);
@@ -87,12 +89,29 @@
             Map<ClientAccountName, Long> totals = vms.get(from).admittedTotals(full);
             vms.get(from).recordReported();
             for (int to = 0; to < vms.size(); to++) {
-                if (to != from && !cutOff.contains(from) && !cutOff.contains(to)) {
+                if (to != from
+                        && to % partCount == from % partCount
+                        && !cutOff.contains(from)
+                        && !cutOff.contains(to)) {
                     vms.get(to).applyReport(vm(from), 1, totals, full, now());
                 }
             }
         }
 
+        /** Divides the fleet for so long that the VMs of each part no longer count those of the others. */
+        void divideForLong(int parts) {
+            partCount = parts;
+            for (int i = 0; i < vms.size(); i++) {
+                Set<VmName> others = new HashSet<>();
+                for (int j = 0; j < vms.size(); j++) {
+                    if (j != i && j % parts == i % parts) {
+                        others.add(vm(j));
+                    }
+                }
+                vms.get(i).updateMembers(others, now());
+            }
+        }
+
         long maxAdmittedInWindow() {
             return admittedAt.stream()
                     .mapToLong(t -> admittedAt.stream()
@@ -121,6 +140,30 @@
         assertThat(fleet.maxAdmittedInWindow()).isLessThanOrEqualTo((long) BOUND);
     }
 
+    @Test
+    @Tag("known-red")
+    void partsOfAFleetThatIsDividedForLongStayWithinTheBound() {
+        Fleet fleet = new Fleet(8);
+        fleet.run(5_000, 0);
+        fleet.divideForLong(2);
+
+        fleet.run(12_000, PER_SECOND * 10 / 8);
+
+        assertThat(fleet.maxAdmittedInWindow()).isLessThanOrEqualTo((long) BOUND);
+    }
+
+    @Test
+    @Tag("known-red")
+    void vmsThatKnowNoOtherVmsStayWithinTheBound() {
+        Fleet fleet = new Fleet(8);
+        fleet.divideForLong(8);
+        fleet.run(5_000, 0);
+
+        fleet.run(12_000, PER_SECOND * 10 / 8);
+
+        assertThat(fleet.maxAdmittedInWindow()).isLessThanOrEqualTo((long) BOUND);
+    }
+
     @Test
     void partialReportsKeepTheBoundToo() {
         Fleet fleet = new Fleet(8, true);
