Forget VMs that have been lost for an hour

What operators would see: VMs that are lost for good and replaced under other names count for the limits of the fleet for ever, in running processes and, by their records in the store, in new ones. Cause: since parts are kept while a VM is silent, nothing ended the part of a VM that never comes back; its record was never removed. Change: a VM that is lost for an hour is forgotten, and one of the VMs that hear each other removes its record. Each VM writes its record and reads the others every 30 minutes, so that VMs that were cut off for longer find each other again: two calls a VM in that time.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -15,6 +15,7 @@
 import org.lycheetray.core.model.DataCentreName;
 import org.lycheetray.core.model.RegionName;
 import org.lycheetray.core.model.VmName;
+import org.lycheetray.core.slots.RendezvousHash;
 import org.lycheetray.core.time.MonotonicTime;
 
 /**
@@ -39,6 +40,12 @@
     /** Time without reports of the majority after which this VM is out of touch: several intervals of a large fleet. */
     public static final Duration TOUCH_TIMEOUT = Duration.ofSeconds(5);
 
+    /**
+     * Time after which a lost VM is forgotten and no longer counts for any limit. Longer than regions usually stay cut off
+     * from each other.
+     */
+    public static final Duration LOST_RETENTION = Duration.ofHours(1);
+
     /** Every how many reports lost VMs receive one too, so that the parts of a divided fleet find each other again. */
     private static final int LOST_VM_REPORT_INTERVAL = 8;
 
@@ -51,6 +58,9 @@
     /** Incarnation of a VM that shut down as planned, and the time of its removal. */
     private record Departed(long incarnation, MonotonicTime removedAt) {}
 
+    /** A VM whose reports have stopped, and the time since when it is lost. */
+    private record LostVm(FleetMember member, MonotonicTime since) {}
+
     private static final class KnownVm {
         private FleetMember member;
         private long sequence;
@@ -69,7 +79,7 @@
     private final Map<DataCentreName, RegionName> regions;
     private final Map<VmName, KnownVm> others = new HashMap<>();
     private final Map<VmName, Departed> departed = new HashMap<>();
-    private final Map<VmName, FleetMember> lost = new HashMap<>();
+    private final Map<VmName, LostVm> lost = new HashMap<>();
     private Optional<Boolean> recordedBefore = Optional.empty();
     private boolean allRead;
     private boolean confirmed;
@@ -100,8 +110,10 @@
         for (FleetMember m : records) {
             KnownVm k = others.get(m.vm());
             Departed d = departed.get(m.vm());
+            LostVm l = lost.get(m.vm());
             boolean newer = (k == null || k.member.incarnation() < m.incarnation())
-                    && (d == null || d.incarnation() < m.incarnation());
+                    && (d == null || d.incarnation() < m.incarnation())
+                    && (l == null || l.member().incarnation() < m.incarnation());
             if (!m.vm().equals(localVm) && newer) {
                 lost.remove(m.vm());
                 others.put(m.vm(), new KnownVm(m, now));
@@ -161,16 +173,42 @@
             }
             // A VM that is starting does not serve either.
             if (left ? !k.hasServed : expired) {
-                lost.put(k.member.vm(), k.member);
+                lost.put(k.member.vm(), new LostVm(k.member, now));
             }
             return left || expired;
         });
     }
 
+    /**
+     * Forgets the VMs that have been lost for {@link #LOST_RETENTION}.
+     *
+     * @param now current time
+     * @return those whose records the local VM should remove from the store; of the VMs that hear each other, one returns
+     *     each of them
+     */
+    public List<FleetMember> removeForgotten(MonotonicTime now) {
+        List<FleetMember> forgotten = lost.values().stream()
+                .filter(l -> now.since(l.since()).compareTo(LOST_RETENTION) > 0)
+                .map(LostVm::member)
+                .toList();
+        forgotten.forEach(m -> lost.remove(m.vm()));
+        return forgotten.stream().filter(m -> isRemover(m, now)).toList();
+    }
+
+    private boolean isRemover(FleetMember forgotten, MonotonicTime now) {
+        List<VmName> running = new ArrayList<>();
+        running.add(localVm);
+        others.values().stream()
+                .filter(k -> k.hasReported && !isSilent(k, now))
+                .forEach(k -> running.add(k.member.vm()));
+        return RendezvousHash.rank(forgotten.vm().value(), running).getFirst().equals(localVm);
+    }
+
     /**
      * Returns what is known of the VMs that share the limits of the fleet.
      *
-     * <p>A VM counts until it shuts down as planned, also when it is silent: it may be running and using its share. A
+     * <p>A VM counts until it shuts down as planned or is forgotten, also when it is silent: it may be running and using
+     * its share. A
      * process of a VM that was recorded before is counted by all others. A new VM is counted by them once they have
      * received its reports, which it takes to be the case when all of them have reported to it.
      *
@@ -209,7 +247,7 @@
      */
     public Map<VmName, DataCentreName> sharers() {
         Map<VmName, DataCentreName> sharers = new HashMap<>();
-        lost.values().forEach(m -> sharers.put(m.vm(), m.dataCentre()));
+        lost.values().forEach(l -> sharers.put(l.member().vm(), l.member().dataCentre()));
         members().forEach(m -> sharers.put(m.vm(), m.dataCentre()));
         return sharers;
     }
@@ -238,7 +276,7 @@
     public ReportRecipients recipients(FleetMember local, long sequence, MonotonicTime now) {
         List<FleetMember> direct = new ArrayList<>();
         if (sequence % LOST_VM_REPORT_INTERVAL == 0) {
-            direct.addAll(lost.values());
+            lost.values().forEach(l -> direct.add(l.member()));
         }
         if (others.size() < MIN_VMS_FOR_RELAYS) {
             direct.addAll(members());
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +22,9 @@
     private static final DataCentreName DC_NEAR = new DataCentreName("dc-near");
     private static final DataCentreName DC_FAR = new DataCentreName("dc-far");
 
-    private final FleetView view = new FleetView(new VmName("self"), Map.of(DC_NEAR, NEAR, DC_FAR, FAR));
+    private static final Map<DataCentreName, RegionName> REGIONS = Map.of(DC_NEAR, NEAR, DC_FAR, FAR);
+
+    private final FleetView view = new FleetView(new VmName("self"), REGIONS);
 
     private static FleetMember member(String name, long incarnation, DataCentreName dc) {
         Endpoint e = new Endpoint("127.0.0.1", 1000);
@@ -91,6 +94,39 @@
         assertThat(view.names()).isEmpty();
     }
 
+    @Test
+    void lostVmIsForgottenAndItsRecordRemovedByOneVm() {
+        FleetView other = new FleetView(new VmName("other"), REGIONS);
+        MonotonicTime lostAt = START.plus(FleetView.REMOVAL_TIMEOUT.multipliedBy(2));
+        MonotonicTime end = lostAt.plus(FleetView.LOST_RETENTION.multipliedBy(2));
+        for (FleetView v : List.of(view, other)) {
+            v.addRecordedVms(List.of(member("lost", 1, DC_NEAR)), START);
+            v.removeExpired(lostAt);
+            assertThat(v.removeForgotten(lostAt.plus(FleetView.LOST_RETENTION))).isEmpty();
+            assertThat(v.sharers()).containsKey(new VmName("lost"));
+        }
+        view.applyReport(member("other", 1, DC_NEAR), 1, true, end);
+        other.applyReport(member("self", 1, DC_NEAR), 1, true, end);
+
+        List<FleetMember> removed = new ArrayList<>(view.removeForgotten(end));
+        removed.addAll(other.removeForgotten(end));
+
+        assertThat(removed).containsExactly(member("lost", 1, DC_NEAR));
+        assertThat(view.sharers()).containsOnlyKeys(new VmName("other"));
+    }
+
+    @Test
+    void recordOfALostVmDoesNotDelayThatItIsForgotten() {
+        MonotonicTime lostAt = START.plus(FleetView.REMOVAL_TIMEOUT.multipliedBy(2));
+        view.addRecordedVms(List.of(member("lost", 1, DC_NEAR)), START);
+        view.removeExpired(lostAt);
+
+        view.addRecordedVms(List.of(member("lost", 1, DC_NEAR)), lostAt.plus(FleetView.LOST_RETENTION));
+        assertThat(view.names()).isEmpty();
+        view.addRecordedVms(List.of(member("lost", 2, DC_NEAR)), lostAt.plus(FleetView.LOST_RETENTION));
+        assertThat(view.names()).containsExactly(new VmName("lost"));
+    }
+
     @Test
     void smallFleetReceivesReportsDirectly() {
         for (int i = 0; i < 10; i++) {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
@@ -9,6 +9,7 @@
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
 import org.lycheetray.core.time.Clock;
+import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.edge.Transport;
 import org.lycheetray.edge.exchange.TrafficSteering;
@@ -27,6 +28,12 @@
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
     private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+    /**
+     * Interval at which the local record is written again and the others are read. VMs that were cut off from this one for
+     * longer than {@link FleetView#LOST_RETENTION} have removed its record, and learn of it from the new one.
+     */
+    private static final Duration RECORD_REFRESH = Duration.ofMinutes(30);
+
     private final Transport transport;
     private final FleetStore store;
     private final FleetView view;
@@ -36,6 +43,7 @@
     private final Clock clock;
     private Optional<FleetMember> localVm = Optional.empty();
     private Optional<ReportChannel> reportChannel = Optional.empty();
+    private Optional<MonotonicTime> registeredAt = Optional.empty();
     private boolean leaving;
 
     /**
@@ -103,6 +111,7 @@
     }
 
     private void register(FleetMember member) {
+        registeredAt = Optional.of(clock.monotonic());
         call("announce", store.registerMember(member).thenReturn(member), m -> rereadMembers(), () -> register(member));
     }
 
@@ -144,16 +153,32 @@
         reportChannel.ifPresent(ReportChannel::send);
     }
 
-    /** Removes VMs that have left from the view, and updates what is known of the fleet. */
+    /** Removes VMs that have left from the view, updates what is known of the fleet, and refreshes the local record. */
     public void removeExpired() {
+        MonotonicTime now = clock.monotonic();
         int sizeBefore = view.size();
-        view.removeExpired(clock.monotonic());
+        view.removeExpired(now);
+        view.removeForgotten(now).forEach(this::removeRecord);
+        if (!leaving
+                && registeredAt
+                        .filter(t -> now.since(t).compareTo(RECORD_REFRESH) > 0)
+                        .isPresent()) {
+            localVm.ifPresent(this::register);
+        }
         if (view.size() != sizeBefore) {
             reportChannel.ifPresent(ReportChannel::updateMembers);
         }
         reportChannel.ifPresent(ReportChannel::updateKnowledge);
     }
 
+    private void removeRecord(FleetMember m) {
+        LogEvent.of("vm-forgotten")
+                .with("vm", m.vm())
+                .with("incarnation", m.incarnation())
+                .info();
+        call("remove-record", store.removeMember(m.vm()).thenReturn(m), x -> {}, () -> {});
+    }
+
     /**
      * Repeats the last write of the local VM, which a store that was restored from an older copy may have lost, and reads
      * the records of the other VMs.
