--- /dev/null
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/CallerConnection.java
@@ -0,0 +1,160 @@
+package org.lycheetray.soak.caller;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.lycheetray.soak.check.Digest;
+import org.lycheetray.soak.check.Outcome;
+import org.lycheetray.soak.check.Recorder;
+import org.lycheetray.soak.check.Unsolicited;
+import org.lycheetray.soak.http.BadAnswerException;
+import org.lycheetray.soak.http.HttpMessage;
+import org.lycheetray.soak.http.HttpReader;
+import org.lycheetray.soak.http.Sockets;
+
+/** A connection of a caller to a VM, on which several requests may wait for their answers in order. */
+final class CallerConnection implements AutoCloseable {
+    private static final int CONNECT_MS = 1_000;
+    private static final AtomicLong NUMBERS = new AtomicLong();
+
+    private final int vm;
+    private final long number = NUMBERS.incrementAndGet();
+    private final Recorder recorder;
+    private final Socket socket = new Socket();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private boolean usable = true;
+    private boolean closedByCaller;
+
+    /** The end of an attempt: the outcome, its time, and the time that the answer asks callers to wait. */
+    record End(Outcome outcome, long atMs, double retryAfterS) {}
+
+    /** An attempt that waits for its answer. */
+    record Waiting(int ahead, CompletableFuture<End> end) {}
+
+    /** Connects to a VM. */
+    CallerConnection(int vm, InetSocketAddress address, Recorder recorder) throws IOException {
+        this.vm = vm;
+        this.recorder = recorder;
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(address, CONNECT_MS);
+        } catch (IOException e) {
+            Sockets.close(socket);
+            throw e;
+        }
+        Thread.startVirtualThread(this::read);
+    }
+
+    int vm() {
+        return vm;
+    }
+
+    long number() {
+        return number;
+    }
+
+    /** Returns whether further requests may be sent. */
+    synchronized boolean isUsable() {
+        return usable;
+    }
+
+    /** Sends the bytes of an attempt. */
+    Waiting send(byte[] bytes) {
+        Waiting w;
+        synchronized (this) {
+            w = new Waiting(waiting.size(), new CompletableFuture<>());
+            if (!usable) {
+                w.end.complete(new End(new Outcome.NotSent(), recorder.nowMs(), 0));
+                return w;
+            }
+            waiting.add(w);
+        }
+        try {
+            socket.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            // The reader sees the end of the connection, after answers that are still in flight.
+        }
+        return w;
+    }
+
+    private void read() {
+        Outcome rest = new Outcome.Broken("closed");
+        try {
+            HttpReader in = new HttpReader(socket.getInputStream());
+            while (in.awaitByte()) {
+                if (!isWaiting()) {
+                    unsolicited(in);
+                    return;
+                }
+                HttpMessage m = in.readResponse();
+                if (m.status() >= 200) {
+                    answered(m);
+                }
+                if (m.isLast()) {
+                    rest = new Outcome.Broken("behind a last answer");
+                    return;
+                }
+            }
+        } catch (BadAnswerException e) {
+            rest = new Outcome.Unreadable(String.valueOf(e.getMessage()));
+        } catch (EOFException e) {
+            rest = new Outcome.Broken("cut: " + e.getMessage());
+        } catch (IOException e) {
+            rest = new Outcome.Broken(String.valueOf(e.getMessage()));
+        } finally {
+            end(rest);
+        }
+    }
+
+    private synchronized boolean isWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    private void unsolicited(HttpReader in) {
+        try {
+            HttpMessage m = in.readResponse();
+            recorder.add(new Unsolicited(vm, number, recorder.nowMs(), m.status(), m.start() + " " + m.headers()));
+        } catch (IOException e) {
+            recorder.add(new Unsolicited(vm, number, recorder.nowMs(), 0, String.valueOf(e.getMessage())));
+        }
+    }
+
+    private void answered(HttpMessage m) {
+        Waiting w;
+        synchronized (this) {
+            w = waiting.remove();
+            usable &= !m.isLast();
+        }
+        String after = m.header("Retry-After");
+        w.end.complete(new End(
+                new Outcome.Answered(
+                        m.status(), m.header("X-Request-Id"), m.header("X-Server-Stamp"), Digest.of(m.body())),
+                recorder.nowMs(),
+                after.isEmpty() ? 0 : Double.parseDouble(after)));
+    }
+
+    private synchronized void end(Outcome rest) {
+        usable = false;
+        Sockets.close(socket);
+        Outcome first = closedByCaller ? new Outcome.GivenUp() : rest;
+        Outcome next =
+                first instanceof Outcome.Unreadable ? new Outcome.Broken("behind bytes that are no answer") : first;
+        for (Outcome o = first; !waiting.isEmpty(); o = next) {
+            waiting.remove().end.complete(new End(o, recorder.nowMs(), 0));
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closedByCaller = true;
+            usable = false;
+        }
+        Sockets.close(socket);
+    }
+}
--- /dev/null
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded schedules of faults and their injection. */
+package org.lycheetray.soak.fault;
--- /dev/null
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of backend servers, sound and faulty. */
+package org.lycheetray.soak.server;
--- /dev/null
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/store/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's metadata store. */
+package org.lycheetray.soak.store;
