--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/FaultInjector.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/FaultInjector.java
@@ -11,7 +11,6 @@
 import org.lycheetray.soak.check.Recorder;
 import org.lycheetray.soak.process.VmProcess;
 import org.lycheetray.soak.server.ServerFleet;
-import org.lycheetray.soak.server.ServerTrouble;
 import org.lycheetray.soak.store.StoreRows;
 import org.lycheetray.soak.store.StoreServer;
 
@@ -19,7 +18,6 @@
 public final class FaultInjector {
     private static final Duration READY_LIMIT = Duration.ofSeconds(30);
     private static final Duration RESTART = Duration.ofMillis(200);
-    private static final int COPIES_PER_SECOND = 1;
 
     private final List<VmProcess> vms;
     private final ServerFleet servers;
@@ -86,7 +84,7 @@
                 case Fault.TroubleStore f -> trouble(f);
                 case Fault.ForgetHistory _ -> rows.forget();
                 case Fault.RestoreStore f -> {
-                    rows.restore(f.seconds() * COPIES_PER_SECOND);
+                    rows.restore(f.seconds());
                     storeDisturbed(recorder.nowMs());
                 }
                 case Fault.TroubleServers f -> trouble(f);
@@ -161,8 +159,8 @@
 
     private void trouble(Fault.TroubleServers f) throws InterruptedException {
         Set<Integer> machines = f.machines();
-        machines.forEach(m -> servers.setTrouble(m, f.trouble()));
+        machines.forEach(m -> servers.startTrouble(m, f.trouble()));
         Thread.sleep(f.length());
-        machines.forEach(m -> servers.setTrouble(m, ServerTrouble.NONE));
+        machines.forEach(m -> servers.endTrouble(m, f.trouble()));
     }
 }
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/BackendServer.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/BackendServer.java
@@ -121,7 +121,7 @@
     }
 
     /** Sets the trouble; a server that stood still goes on. */
-    public void setTrouble(ServerTrouble t) {
+    void setTrouble(ServerTrouble t) {
         trouble = t;
     }
 
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerFleet.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerFleet.java
@@ -25,6 +25,7 @@
     private final List<String> zones;
     private final List<BackendServer> current = new ArrayList<>();
     private final List<Semaphore> changing = new ArrayList<>();
+    private final List<List<ServerTrouble>> troubles = new ArrayList<>();
     private final AtomicInteger lifetimes = new AtomicInteger();
 
     /** Starts a server on each of a number of machines. */
@@ -45,11 +46,12 @@
         this.zones = zones;
         for (int i = 0; i < machines; i++) {
             changing.add(new Semaphore(1));
-            current.add(start(i, services.get(i % services.size()), ServerTrouble.NONE));
+            troubles.add(new ArrayList<>());
+            current.add(start(i, services.get(i % services.size())));
         }
     }
 
-    private BackendServer start(int machine, String service, ServerTrouble trouble) throws IOException {
+    private BackendServer start(int machine, String service) throws IOException {
         String id = String.format(java.util.Locale.ROOT, "i-%08x", 0x7f3a0000 + lifetimes.incrementAndGet());
         BackendServer s = new BackendServer(
                 new BackendServer.Lifetime(id, service, zones.get(machine / services.size() % zones.size()), SLOTS),
@@ -57,7 +59,6 @@
                 rows,
                 recorder,
                 seed);
-        s.setTrouble(trouble);
         return s;
     }
 
@@ -66,9 +67,21 @@
         return current.size();
     }
 
-    /** Sets the trouble of a machine's server. */
-    public void setTrouble(int machine, ServerTrouble trouble) {
-        server(machine).setTrouble(trouble);
+    /** Starts a trouble of a machine's servers; of several, the newest holds. */
+    public synchronized void startTrouble(int machine, ServerTrouble trouble) {
+        troubles.get(machine).add(trouble);
+        showTrouble(machine);
+    }
+
+    /** Ends a trouble. */
+    public synchronized void endTrouble(int machine, ServerTrouble trouble) {
+        troubles.get(machine).remove(trouble);
+        showTrouble(machine);
+    }
+
+    private void showTrouble(int machine) {
+        List<ServerTrouble> l = troubles.get(machine);
+        current.get(machine).setTrouble(l.isEmpty() ? ServerTrouble.NONE : l.getLast());
     }
 
     private synchronized BackendServer server(int machine) {
@@ -77,6 +90,7 @@
 
     private synchronized void replace(int machine, BackendServer next) {
         current.set(machine, next);
+        showTrouble(machine);
     }
 
     /** A change of the server on a machine. */
@@ -98,8 +112,8 @@
         }
     }
 
-    private void startNext(int machine, BackendServer old, String service) throws IOException {
-        replace(machine, start(machine, service, old.trouble()));
+    private void startNext(int machine, String service) throws IOException {
+        replace(machine, start(machine, service));
     }
 
     /** Crashes a machine's server; a new lifetime follows. */
@@ -107,7 +121,7 @@
         change(machine, old -> {
             old.crash();
             Thread.sleep(RESTART);
-            startNext(machine, old, old.lifetime().service());
+            startNext(machine, old.lifetime().service());
         });
     }
 
@@ -120,7 +134,7 @@
         change(machine, old -> {
             old.leave(announced, Duration.ofMillis(Bounds.DRAIN_TIMEOUT_MS + 500));
             Thread.sleep(RESTART);
-            startNext(machine, old, old.lifetime().service());
+            startNext(machine, old.lifetime().service());
         });
     }
 
@@ -130,11 +144,11 @@
             old.crash();
             Thread.sleep(REUSE);
             String service = old.lifetime().service();
-            startNext(machine, old, services.get((services.indexOf(service) + 1) % services.size()));
+            startNext(machine, services.get((services.indexOf(service) + 1) % services.size()));
             Thread.sleep(loan);
             server(machine).crash();
             Thread.sleep(REUSE);
-            startNext(machine, old, service);
+            startNext(machine, service);
         });
     }
 
