--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
@@ -30,6 +30,8 @@
     private static final int SLOW_FACTOR = 10;
     private static final int MAX_EXTRA_DELAY_MS = 80;
     private static final int QUEUE_FACTOR = 2;
+    private static final int REFUSED_ONE_IN = 6;
+    private static final int FAILED_ONE_IN = 40;
     private static final String GARBAGE = "\u0001\u0002 stray bytes \r\n\r\n";
 
     private final BackendServer server;
@@ -66,11 +68,7 @@
     private boolean answer(HttpMessage m) throws IOException, InterruptedException {
         String id = m.header("X-Request-Id");
         if (id.isEmpty()) {
-            write(AnswerFormat.answer(
-                    server.isDraining() ? 503 : 200,
-                    "X-Instance-Id: " + server.lifetime().id() + "\r\n",
-                    Framing.LENGTH,
-                    new byte[0]));
+            answerHealthCheck();
             return true;
         }
         String expected = m.header("X-Expect-Instance");
@@ -81,6 +79,18 @@
         return handle(m, id);
     }
 
+    private void answerHealthCheck() throws IOException {
+        byte[] answer = AnswerFormat.answer(
+                server.isDraining() ? 503 : 200,
+                "X-Instance-Id: " + server.lifetime().id() + "\r\n",
+                Framing.LENGTH,
+                new byte[0]);
+        write(answer);
+        if (server.trouble().kind() == Kind.STUTTER) {
+            writeLater(answer, MAX_EXTRA_DELAY_MS);
+        }
+    }
+
     private boolean handle(HttpMessage m, String id) throws IOException, InterruptedException {
         long at = server.recorder().nowMs();
         Random random = new Random(
@@ -89,6 +99,10 @@
         Kind kind = random.nextDouble() < trouble.share() ? trouble.kind() : Kind.NONE;
         boolean ran = false;
         try {
+            if (kind == Kind.STUTTER && random.nextInt(REFUSED_ONE_IN) == 0) {
+                stutter(refusal(503, id, true), id, random);
+                return true;
+            }
             if (kind == Kind.SHED || !awaitSlot(m)) {
                 write(refusal(503, id, true));
                 return true;
@@ -133,7 +147,8 @@
         awaitGoingOn();
         String stamp = server.nextStamp();
         byte[] body = AnswerFormat.body(stamp, random.nextInt(MAX_BODY_BYTES));
-        server.recorder().add(new ServerAnswer(stamp, id, 200, Digest.of(body), false));
+        int status = random.nextInt(FAILED_ONE_IN) == 0 ? 500 : 200;
+        server.recorder().add(new ServerAnswer(stamp, id, status, Digest.of(body), false));
         boolean last = server.isDraining();
         String headers = headers(id, stamp) + (last ? "Connection: close\r\n" : "Keep-Alive: timeout=10\r\n");
         Framing framing = random.nextBoolean() ? Framing.LENGTH : Framing.CHUNKED;
@@ -144,12 +159,12 @@
             }
             case GARBAGE -> write(Sockets.bytes(GARBAGE));
             case TRUNCATE -> {
-                byte[] whole = AnswerFormat.answer(200, headers, framing, body);
+                byte[] whole = AnswerFormat.answer(status, headers, framing, body);
                 write(Arrays.copyOf(whole, random.nextInt(whole.length)));
                 return false;
             }
             case UNBOUNDED -> {
-                byte[] whole = AnswerFormat.answer(200, headers(id, stamp), Framing.END_OF_CONNECTION, body);
+                byte[] whole = AnswerFormat.answer(status, headers(id, stamp), Framing.END_OF_CONNECTION, body);
                 boolean cut = random.nextInt(3) == 0;
                 write(cut ? Arrays.copyOf(whole, random.nextInt(whole.length)) : whole);
                 if (cut) {
@@ -158,8 +173,8 @@
                 }
                 return false;
             }
-            case STUTTER -> stutter(AnswerFormat.answer(200, headers, framing, body), id, random);
-            default -> write(AnswerFormat.answer(200, headers, framing, body));
+            case STUTTER -> stutter(AnswerFormat.answer(status, headers, framing, body), id, random);
+            default -> write(AnswerFormat.answer(status, headers, framing, body));
         }
         return !last;
     }
