--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakReport.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakReport.java
@@ -18,6 +18,7 @@
 import org.lycheetray.soak.check.LostCheck;
 import org.lycheetray.soak.check.MixedCheck;
 import org.lycheetray.soak.check.OwnEndCheck;
+import org.lycheetray.soak.check.PushBackCheck;
 import org.lycheetray.soak.check.RefusedCheck;
 import org.lycheetray.soak.check.TwiceCheck;
 import org.lycheetray.soak.check.UnaskedCheck;
@@ -28,7 +29,6 @@
 /** Checks the history of a run, prints a summary and keeps the files of a run with violations. */
 final class SoakReport {
     private static final int SHOWN = 5;
-    private static final long PATIENCE_MS = 2_000;
 
     private final Path folder;
     private final History history;
@@ -60,7 +60,8 @@
                 new UnaskedCheck(),
                 budget,
                 new AttemptsCheck(Route.MAX_ATTEMPTS),
-                new LostCheck(Bounds.CONTACT_MS, Bounds.GRACE_S * 1_000L, PATIENCE_MS),
+                new PushBackCheck(),
+                new LostCheck(Bounds.CONTACT_MS, Bounds.GRACE_S * 1_000L),
                 new OwnEndCheck());
         List<Violation> violations = new ArrayList<>();
         Map<String, Integer> byRule = new TreeMap<>();
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Caller.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Caller.java
@@ -22,7 +22,6 @@
  * once, and repeats them with new identifiers as the protocol allows.
  */
 public final class Caller implements Runnable {
-    private static final long PATIENCE_MS = 4_000;
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_TOGETHER = 4;
     private static final int RECONNECT_ONE_IN = 12;
@@ -94,7 +93,7 @@
     }
 
     private void callAll(List<Request> requests, boolean anew) throws InterruptedException {
-        long limit = recorder.nowMs() + PATIENCE_MS;
+        long start = recorder.nowMs();
         if (anew && kept != null) {
             kept.close();
         }
@@ -106,7 +105,7 @@
         }
         List<Running> running = new ArrayList<>();
         for (Request r : requests) {
-            running.add(send(r, kept, limit));
+            running.add(send(r, kept, start + r.route().patienceMs()));
         }
         for (Running r : running) {
             finish(r, random.nextLong());
@@ -131,6 +130,7 @@
                     r.waiting.ahead(),
                     r.sentMs,
                     e.atMs(),
+                    Math.min(r.request.route().timeoutMs(), r.limitMs - r.sentMs),
                     e.outcome()));
             long left = r.limitMs - recorder.nowMs();
             if (n == MAX_ATTEMPTS || left <= 0 || !mayRepeat(r.request, e.outcome())) {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Request.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Request.java
@@ -20,6 +20,8 @@
 @SuppressWarnings("ArrayRecordComponent")
 record Request(Route route, String path, Optional<Account> account, byte[] body, boolean chunked) {
     private static final int MAX_BODY_BYTES = 12_000;
+    private static final int MAX_LONG_BODY_BYTES = 900_000;
+    private static final int LONG_ONE_IN = 12;
 
     /** Returns a request of a random kind. */
     static Request random(Random random, boolean safeOnly) {
@@ -29,7 +31,8 @@
         }
         Optional<Account> account =
                 route.anonymous() ? Optional.empty() : Optional.of(Account.ALL.get(random.nextInt(Account.ALL.size())));
-        byte[] body = new byte[route.safe() ? 0 : random.nextInt(MAX_BODY_BYTES)];
+        int longest = random.nextInt(LONG_ONE_IN) == 0 ? MAX_LONG_BODY_BYTES : MAX_BODY_BYTES;
+        byte[] body = new byte[route.safe() ? 0 : random.nextInt(longest)];
         random.nextBytes(body);
         String path = route.prefix() + Integer.toHexString(random.nextInt()) + "?n=" + random.nextInt(1_000);
         return new Request(route, path, account, body, random.nextInt(3) == 0);
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Route.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Route.java
@@ -31,6 +31,11 @@
     /** Largest number of servers to which one client attempt may be sent. */
     public static final int MAX_ATTEMPTS = 3;
 
+    /** Returns how long a caller waits for all attempts together, in milliseconds. */
+    int patienceMs() {
+        return timeoutMs + 1_000;
+    }
+
     /** Returns the prefix of its paths. */
     public String prefix() {
         return "/" + name + "/";
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Attempt.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Attempt.java
@@ -12,6 +12,7 @@
  * @param ahead requests ahead of it on the connection that were unanswered when it was sent
  * @param sentMs time at which it was sent, in milliseconds of the run
  * @param endMs time at which it ended
+ * @param patienceMs time after which it may end without an answer, by its deadline or its route's timeout
  * @param outcome how it ended
  */
 public record Attempt(
@@ -24,4 +25,5 @@
         int ahead,
         long sentMs,
         long endMs,
+        long patienceMs,
         Outcome outcome) {}
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/History.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/History.java
@@ -13,6 +13,7 @@
  * @param unsolicited bytes that callers got with no request waiting
  * @param disturbances disturbances of machines
  * @param ownEnds processes that ended by themselves
+ * @param pushBacks rejections with which servers asked VMs to stay away
  */
 public record History(
         List<Attempt> attempts,
@@ -20,7 +21,8 @@
         List<ServerAnswer> answers,
         List<Unsolicited> unsolicited,
         List<Disturbance> disturbances,
-        List<OwnEnd> ownEnds) {
+        List<OwnEnd> ownEnds,
+        List<PushBack> pushBacks) {
     /** Returns the arrivals by request. */
     public Map<String, List<Arrival>> arrivalsById() {
         return arrivals.stream().collect(Collectors.groupingBy(Arrival::id));
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/LostCheck.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/LostCheck.java
@@ -14,19 +14,16 @@
 
     private final long contactMs;
     private final long graceMs;
-    private final long patienceMs;
 
     /**
      * Creates a check.
      *
      * @param contactMs time after a disturbance until a VM is in touch
      * @param graceMs time that a VM has for a planned stop
-     * @param patienceMs time after which an attempt may end without an answer
      */
-    public LostCheck(long contactMs, long graceMs, long patienceMs) {
+    public LostCheck(long contactMs, long graceMs) {
         this.contactMs = contactMs;
         this.graceMs = graceMs;
-        this.patienceMs = patienceMs;
     }
 
     @Override
@@ -61,7 +58,9 @@
     }
 
     private boolean isOwed(Attempt a, List<Arrival> passedOn) {
-        return !passedOn.isEmpty() && passedOn.stream().allMatch(Arrival::sound) && a.endMs() - a.sentMs() < patienceMs;
+        return !passedOn.isEmpty()
+                && passedOn.stream().allMatch(Arrival::sound)
+                && a.endMs() - a.sentMs() < a.patienceMs();
     }
 
     private boolean isDisturbed(Attempt a, History h) {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Recorder.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Recorder.java
@@ -13,6 +13,7 @@
     private final Queue<Unsolicited> unsolicited = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Queue<OwnEnd> ownEnds = new ConcurrentLinkedQueue<>();
+    private final Queue<PushBack> pushBacks = new ConcurrentLinkedQueue<>();
 
     /** Returns the milliseconds since the start of the run. */
     public long nowMs() {
@@ -49,6 +50,11 @@
         ownEnds.add(e);
     }
 
+    /** Adds a rejection before it is sent. */
+    public void add(PushBack p) {
+        pushBacks.add(p);
+    }
+
     /** Returns the number of attempts that have ended so far. */
     public int attemptCount() {
         return attempts.size();
@@ -62,6 +68,7 @@
                 List.copyOf(answers),
                 List.copyOf(unsolicited),
                 List.copyOf(disturbances),
-                List.copyOf(ownEnds));
+                List.copyOf(ownEnds),
+                List.copyOf(pushBacks));
     }
 }
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/Scenario.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/Scenario.java
@@ -44,6 +44,31 @@
             b.add(WARM_UP_S + 0.2, new Fault.KillVms(b.all(b.vms), Duration.ofMillis(200)));
         }
     },
+    /** Servers ask VMs to stay away. */
+    PUSH_BACK {
+        @Override
+        void fill(Builder b) {
+            for (double t = 3; t < b.length - 4; t += 2) {
+                b.add(t, b.servers(b.some(b.machines, 0.3), ServerTrouble.Kind.PUSH_BACK, b.pick(0.3, 1.0), 2));
+            }
+        }
+    },
+    /** Servers answer without a length, break off, answer early, or send bytes that are no answer. */
+    CUT_ANSWERS {
+        @Override
+        void fill(Builder b) {
+            b.add(0, b.servers(b.all(b.machines), ServerTrouble.Kind.UNBOUNDED, 0.3, b.length));
+            for (double t = 3; t < b.length - 4; t += 2) {
+                ServerTrouble.Kind kind = b.pick(
+                        ServerTrouble.Kind.EARLY,
+                        ServerTrouble.Kind.EARLY,
+                        ServerTrouble.Kind.TRUNCATE,
+                        ServerTrouble.Kind.RESET,
+                        ServerTrouble.Kind.GARBAGE);
+                b.add(t, b.servers(b.some(b.machines, 0.3), kind, 0.5, 2));
+            }
+        }
+    },
     /** VMs are killed again and again while servers reject requests. */
     KILLS {
         @Override
@@ -206,7 +231,9 @@
                 case 2 -> turnover();
                 default -> {
                     ServerTrouble.Kind[] kinds = ServerTrouble.Kind.values();
-                    ServerTrouble.Kind kind = kinds[1 + random.nextInt(kinds.length - 1)];
+                    ServerTrouble.Kind kind = random.nextInt(3) == 0
+                            ? ServerTrouble.Kind.STUTTER
+                            : kinds[1 + random.nextInt(kinds.length - 1)];
                     yield servers(some(machines, 0.2), kind, pick(0.2, 0.8, 1.0), span());
                 }
             };
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/http/HttpReader.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/http/HttpReader.java
@@ -40,7 +40,12 @@
      */
     public HttpMessage readRequest() throws IOException {
         HttpMessage head = readHead();
-        return head == null ? null : withBody(head, false);
+        return head == null ? null : readBody(head);
+    }
+
+    /** Reads the body of a request whose head was read. */
+    public HttpMessage readBody(HttpMessage head) throws IOException {
+        return withBody(head, false);
     }
 
     /**
@@ -60,7 +65,8 @@
         return withBody(head, head.status() != 204 && head.status() != 304);
     }
 
-    private HttpMessage readHead() throws IOException {
+    /** Reads the head of a message; returns null if the stream ends before it begins. */
+    public HttpMessage readHead() throws IOException {
         String start = readLine();
         if (start == null) {
             return null;
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import org.lycheetray.soak.check.Arrival;
 import org.lycheetray.soak.check.Digest;
+import org.lycheetray.soak.check.PushBack;
 import org.lycheetray.soak.check.Sent;
 import org.lycheetray.soak.check.ServerAnswer;
 import org.lycheetray.soak.http.HttpMessage;
@@ -27,11 +28,14 @@
     private static final int MIN_WORK_MS = 4;
     private static final int MAX_WORK_MS = 60;
     private static final int MAX_LONG_WORK_MS = 500;
+    private static final int MAX_VERY_LONG_WORK_MS = 5_000;
+    private static final int VERY_LONG_ONE_IN = 10;
     private static final int SLOW_FACTOR = 10;
     private static final int MAX_EXTRA_DELAY_MS = 80;
     private static final int QUEUE_FACTOR = 2;
     private static final int REFUSED_ONE_IN = 6;
     private static final int FAILED_ONE_IN = 40;
+    private static final int AWAY_S = 2;
     private static final String GARBAGE = "\u0001\u0002 stray bytes \r\n\r\n";
 
     private final BackendServer server;
@@ -49,15 +53,38 @@
     void serve() throws IOException, InterruptedException {
         HttpReader in = new HttpReader(socket.getInputStream());
         awaitGoingOn();
-        for (HttpMessage m = in.readRequest(); m != null && !server.isEnded(); m = in.readRequest()) {
+        for (HttpMessage head = in.readHead(); head != null && !server.isEnded(); head = in.readHead()) {
             awaitGoingOn();
-            if (!answer(m)) {
+            if (isAnsweredEarly(head)) {
+                return;
+            }
+            if (!answer(in.readBody(head))) {
                 return;
             }
             awaitGoingOn();
         }
     }
 
+    /** Answers part of the requests with a body before it is read, cuts the answer and resets the connection. */
+    private boolean isAnsweredEarly(HttpMessage head) throws IOException, InterruptedException {
+        if (server.trouble().kind() != Kind.EARLY || !head.method().equals("POST")) {
+            return false;
+        }
+        String id = head.header("X-Request-Id");
+        Random random = new Random(server.seed() ^ id.hashCode());
+        if (random.nextDouble() >= server.trouble().share()) {
+            return false;
+        }
+        String stamp = server.nextStamp();
+        byte[] body = AnswerFormat.body(stamp, 1 + random.nextInt(MAX_BODY_BYTES));
+        server.recorder().add(new ServerAnswer(stamp, id, 200, Digest.of(body), false));
+        byte[] whole = AnswerFormat.answer(200, headers(id, stamp), Framing.END_OF_CONNECTION, body);
+        write(Arrays.copyOf(whole, whole.length - 1 - random.nextInt(body.length)));
+        Thread.sleep(Duration.ofMillis(random.nextInt(MAX_EXTRA_DELAY_MS)));
+        Sockets.reset(socket);
+        return true;
+    }
+
     private void awaitGoingOn() throws InterruptedException {
         while (server.trouble().kind() == Kind.STALL && !server.isEnded()) {
             Thread.sleep(STALL_POLL);
@@ -103,6 +130,13 @@
                 stutter(refusal(503, id, true), id, random);
                 return true;
             }
+            if (kind == Kind.PUSH_BACK) {
+                server.recorder()
+                        .add(new PushBack(
+                                id, server.lifetime().id(), server.recorder().nowMs(), AWAY_S * 1_000L));
+                write(refusal("Retry-After: " + AWAY_S + "\r\n", 503, id, true));
+                return true;
+            }
             if (kind == Kind.SHED || !awaitSlot(m)) {
                 write(refusal(503, id, true));
                 return true;
@@ -141,8 +175,7 @@
 
     private boolean run(String id, Kind kind, Random random) throws IOException, InterruptedException {
         flushHeldBack();
-        int longest = server.lifetime().service().endsWith("archive") ? MAX_LONG_WORK_MS : MAX_WORK_MS;
-        int work = random.nextInt(MIN_WORK_MS, longest);
+        int work = random.nextInt(MIN_WORK_MS, longestWorkMs(random));
         Thread.sleep(Duration.ofMillis(kind == Kind.SLOW ? (long) work * SLOW_FACTOR : work));
         awaitGoingOn();
         String stamp = server.nextStamp();
@@ -179,6 +212,13 @@
         return !last;
     }
 
+    private int longestWorkMs(Random random) {
+        if (!server.lifetime().service().equals(ServerFleet.LONG_SERVICE)) {
+            return MAX_WORK_MS;
+        }
+        return random.nextInt(VERY_LONG_ONE_IN) == 0 ? MAX_VERY_LONG_WORK_MS : MAX_LONG_WORK_MS;
+    }
+
     /** Sends an answer and, in one of several ways, a second one to the same request. */
     private void stutter(byte[] first, String id, Random random) throws IOException, InterruptedException {
         byte[] second = second(id, random);
@@ -221,7 +261,11 @@
     }
 
     private byte[] refusal(int status, String id, boolean marked) {
-        String headers = (id.isEmpty() ? "" : "X-Request-Id: " + id + "\r\n")
+        return refusal("", status, id, marked);
+    }
+
+    private byte[] refusal(String more, int status, String id, boolean marked) {
+        String headers = more + (id.isEmpty() ? "" : "X-Request-Id: " + id + "\r\n")
                 + "X-Instance-Id: " + server.lifetime().id() + "\r\n"
                 + (marked ? "X-Not-Executed: 1\r\n" : "")
                 + (server.isDraining() ? "Server-Leaving: 1\r\n" : "");
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerFleet.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerFleet.java
@@ -16,6 +16,10 @@
     private static final Duration RESTART = Duration.ofMillis(500);
     private static final Duration REUSE = Duration.ofMillis(Bounds.REUSE_AFTER_MS + 300);
     private static final int SLOTS = 8;
+    private static final int LONG_SERVICE_SLOTS = 24;
+
+    /** Service whose requests take long. */
+    static final String LONG_SERVICE = "archive";
 
     private final Network network;
     private final StoreRows rows;
@@ -54,7 +58,11 @@
     private BackendServer start(int machine, String service) throws IOException {
         String id = String.format(java.util.Locale.ROOT, "i-%08x", 0x7f3a0000 + lifetimes.incrementAndGet());
         BackendServer s = new BackendServer(
-                new BackendServer.Lifetime(id, service, zones.get(machine / services.size() % zones.size()), SLOTS),
+                new BackendServer.Lifetime(
+                        id,
+                        service,
+                        zones.get(machine / services.size() % zones.size()),
+                        service.equals(LONG_SERVICE) ? LONG_SERVICE_SLOTS : SLOTS),
                 network.at(network.server(machine), Network.SERVER_PORT),
                 rows,
                 recorder,
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerTrouble.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerTrouble.java
@@ -28,12 +28,16 @@
         RESET,
         /** Answers without a length, and resets some of these answers on the way. */
         UNBOUNDED,
+        /** Answers without a length before it has read a body, and resets the connection. */
+        EARLY,
+        /** Rejects requests and asks the VM to stay away for a while. */
+        PUSH_BACK,
         /** Sends bytes that are no answer. */
         GARBAGE
     }
 
     /** Returns whether a server with this trouble is sound in the words of the rules. */
     boolean isSound() {
-        return kind == Kind.NONE || kind == Kind.SHED || kind == Kind.SLOW;
+        return kind == Kind.NONE || kind == Kind.SHED || kind == Kind.PUSH_BACK || kind == Kind.SLOW;
     }
 }
--- a/lycheetray-soak/src/test/java/org/lycheetray/soak/check/Histories.java
+++ b/lycheetray-soak/src/test/java/org/lycheetray/soak/check/Histories.java
@@ -14,9 +14,10 @@
     private final List<Unsolicited> unsolicited = new ArrayList<>();
     private final List<Disturbance> disturbances = new ArrayList<>();
     private final List<OwnEnd> ownEnds = new ArrayList<>();
+    private final List<PushBack> pushBacks = new ArrayList<>();
 
     Histories attempt(String id, long sentMs, long endMs, Outcome outcome) {
-        attempts.add(new Attempt(id, "orders", false, SENT, 0, 1, 0, sentMs, endMs, outcome));
+        attempts.add(new Attempt(id, "orders", false, SENT, 0, 1, 0, sentMs, endMs, 2_000, outcome));
         return this;
     }
 
@@ -65,8 +66,13 @@
         return this;
     }
 
+    Histories pushBack(String id, String server, long atMs, long awayMs) {
+        pushBacks.add(new PushBack(id, server, atMs, awayMs));
+        return this;
+    }
+
     History history() {
-        return new History(attempts, arrivals, answers, unsolicited, disturbances, ownEnds);
+        return new History(attempts, arrivals, answers, unsolicited, disturbances, ownEnds, pushBacks);
     }
 
     static Outcome answered(int status, String requestId, String stamp) {
--- a/lycheetray-soak/src/test/java/org/lycheetray/soak/check/LostCheckTest.java
+++ b/lycheetray-soak/src/test/java/org/lycheetray/soak/check/LostCheckTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 class LostCheckTest {
-    private final LostCheck check = new LostCheck(3_000, 6_000, 2_000);
+    private final LostCheck check = new LostCheck(3_000, 6_000);
 
     @Test
     void requestCutInAPlannedStopIsFound() {
