--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Caller.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/Caller.java
@@ -25,6 +25,7 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_TOGETHER = 4;
     private static final int RECONNECT_ONE_IN = 12;
+    private static final int SLOW_ONE_IN = 6;
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
     private static final Set<Integer> FINAL = Set.of(400, 401, 404, 413, 431);
 
@@ -37,6 +38,7 @@
     private final double perSecond;
     private final BooleanSupplier goesOn;
     private final Set<Integer> failed = new HashSet<>();
+    private final boolean slow;
     private CallerConnection kept;
 
     private record Running(
@@ -67,6 +69,7 @@
         this.perSecond = perSecond;
         this.goesOn = goesOn;
         random = new Random(seed);
+        slow = random.nextInt(SLOW_ONE_IN) == 0;
         places = new Random(seed + 2);
         directory = new Directory(network, vms, place, new Random(seed + 1));
     }
@@ -192,7 +195,8 @@
         }
         int vm = choice.get(places.nextInt(choice.size()));
         try {
-            CallerConnection c = new CallerConnection(vm, network.at(network.vm(vm), Network.CALLERS_PORT), recorder);
+            CallerConnection c =
+                    new CallerConnection(vm, network.at(network.vm(vm), Network.CALLERS_PORT), slow, recorder);
             open.add(c);
             return Optional.of(c);
         } catch (IOException e) {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/CallerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/CallerConnection.java
@@ -1,7 +1,7 @@
 package org.lycheetray.soak.caller;
 
-import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayDeque;
@@ -25,6 +25,7 @@
     private final int vm;
     private final long number = NUMBERS.incrementAndGet();
     private final Recorder recorder;
+    private final boolean slow;
     private final Socket socket = new Socket();
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private boolean usable = true;
@@ -36,12 +37,16 @@
     /** An attempt that waits for its answer. */
     record Waiting(int ahead, CompletableFuture<End> end) {}
 
-    /** Connects to a VM. */
-    CallerConnection(int vm, InetSocketAddress address, Recorder recorder) throws IOException {
+    /** Connects to a VM; {@code slow} is for a caller that reads slowly. */
+    CallerConnection(int vm, InetSocketAddress address, boolean slow, Recorder recorder) throws IOException {
         this.vm = vm;
+        this.slow = slow;
         this.recorder = recorder;
         try {
             socket.setTcpNoDelay(true);
+            if (slow) {
+                socket.setReceiveBufferSize(SlowStream.RECEIVE_BUFFER_BYTES);
+            }
             socket.connect(address, CONNECT_MS);
         } catch (IOException e) {
             Sockets.close(socket);
@@ -85,13 +90,16 @@
     private void read() {
         Outcome rest = new Outcome.Broken("closed");
         try {
-            HttpReader in = new HttpReader(socket.getInputStream());
+            InputStream stream = socket.getInputStream();
+            HttpReader in = new HttpReader(slow ? new SlowStream(stream) : stream);
             while (in.awaitByte()) {
                 if (!isWaiting()) {
                     unsolicited(in);
                     return;
                 }
+                rest = new Outcome.Broken(Outcome.CUT + " within an answer");
                 HttpMessage m = in.readResponse();
+                rest = new Outcome.Broken("closed");
                 if (m.status() >= 200) {
                     answered(m);
                 }
@@ -102,10 +110,8 @@
             }
         } catch (BadAnswerException e) {
             rest = new Outcome.Unreadable(String.valueOf(e.getMessage()));
-        } catch (EOFException e) {
-            rest = new Outcome.Broken("cut: " + e.getMessage());
         } catch (IOException e) {
-            rest = new Outcome.Broken(String.valueOf(e.getMessage()));
+            rest = new Outcome.Broken(rest instanceof Outcome.Broken b ? b.why() + ": " + e.getMessage() : "closed");
         } finally {
             end(rest);
         }
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Outcome.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/Outcome.java
@@ -2,6 +2,9 @@
 
 /** How a client attempt ended. */
 public sealed interface Outcome {
+    /** Begins the reason of a broken connection on which part of an answer was read. */
+    String CUT = "cut";
+
     /**
      * A whole answer was read.
      *
@@ -36,7 +39,7 @@
     default String label() {
         return switch (this) {
             case Answered a -> Integer.toString(a.status);
-            case Broken _ -> "broken";
+            case Broken b -> b.why.startsWith(CUT) ? "cut" : "broken";
             case Unreadable _ -> "unreadable";
             case GivenUp _ -> "given-up";
             case NotSent _ -> "not-sent";
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
@@ -25,6 +25,8 @@
 final class ServerConnection {
     private static final Duration STALL_POLL = Duration.ofMillis(20);
     private static final int MAX_BODY_BYTES = 40_000;
+    private static final int MAX_LONG_BODY_BYTES = 600_000;
+    private static final int LONG_BODY_ONE_IN = 25;
     private static final int MIN_WORK_MS = 4;
     private static final int MAX_WORK_MS = 60;
     private static final int MAX_LONG_WORK_MS = 500;
@@ -179,7 +181,8 @@
         Thread.sleep(Duration.ofMillis(kind == Kind.SLOW ? (long) work * SLOW_FACTOR : work));
         awaitGoingOn();
         String stamp = server.nextStamp();
-        byte[] body = AnswerFormat.body(stamp, random.nextInt(MAX_BODY_BYTES));
+        int longest = random.nextInt(LONG_BODY_ONE_IN) == 0 ? MAX_LONG_BODY_BYTES : MAX_BODY_BYTES;
+        byte[] body = AnswerFormat.body(stamp, random.nextInt(longest));
         int status = random.nextInt(FAILED_ONE_IN) == 0 ? 500 : 200;
         server.recorder().add(new ServerAnswer(stamp, id, status, Digest.of(body), false));
         boolean last = server.isDraining();
