--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakReport.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakReport.java
@@ -29,6 +29,7 @@
 /** Checks the history of a run, prints a summary and keeps the files of a run with violations. */
 final class SoakReport {
     private static final int SHOWN = 5;
+    private static final int SHOWN_CHARS = 500;
 
     private final Path folder;
     private final History history;
@@ -83,8 +84,13 @@
         }
         violations.stream()
                 .collect(Collectors.groupingBy(Violation::rule))
-                .forEach(
-                        (r, l) -> l.stream().limit(SHOWN).forEach(v -> System.out.println("  " + r + ": " + v.text())));
+                .forEach((r, l) -> l.stream()
+                        .limit(SHOWN)
+                        .forEach(v -> System.out.println("  " + r + ": "
+                                + v.text()
+                                        .substring(
+                                                0,
+                                                Math.min(SHOWN_CHARS, v.text().length())))));
         if (violations.isEmpty()) {
             deleteFolder();
         } else {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/check/BudgetCheck.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/check/BudgetCheck.java
@@ -75,6 +75,7 @@
         Map<String, List<Arrival>> arrivals = h.arrivals().stream().collect(Collectors.groupingBy(Arrival::service));
         List<Peak> peaks = new ArrayList<>();
         arrivals.forEach((s, l) -> peaks.add(peak(s, repeats(l), requests.getOrDefault(s, new long[0]))));
+        peaks.removeIf(p -> p.repeats == 0);
         return peaks;
     }
 
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/Scenario.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/Scenario.java
@@ -107,7 +107,7 @@
             }
         }
     },
-    /** Faults of all kinds at random times, overlapping. */
+    /** Faults of all kinds at random times, overlapping, except for servers that ask VMs to stay away. */
     MIXED {
         @Override
         void fill(Builder b) {
@@ -119,6 +119,19 @@
 
     private static final double WARM_UP_S = 12;
 
+    private static final ServerTrouble.Kind[] MIXED_TROUBLES = {
+        ServerTrouble.Kind.STUTTER,
+        ServerTrouble.Kind.STUTTER,
+        ServerTrouble.Kind.SHED,
+        ServerTrouble.Kind.SLOW,
+        ServerTrouble.Kind.STALL,
+        ServerTrouble.Kind.TRUNCATE,
+        ServerTrouble.Kind.RESET,
+        ServerTrouble.Kind.UNBOUNDED,
+        ServerTrouble.Kind.EARLY,
+        ServerTrouble.Kind.GARBAGE
+    };
+
     /** Returns the name on the command line. */
     public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -230,10 +243,7 @@
                 case 1 -> storeFault();
                 case 2 -> turnover();
                 default -> {
-                    ServerTrouble.Kind[] kinds = ServerTrouble.Kind.values();
-                    ServerTrouble.Kind kind = random.nextInt(3) == 0
-                            ? ServerTrouble.Kind.STUTTER
-                            : kinds[1 + random.nextInt(kinds.length - 1)];
+                    ServerTrouble.Kind kind = pick(MIXED_TROUBLES);
                     yield servers(some(machines, 0.2), kind, pick(0.2, 0.8, 1.0), span());
                 }
             };
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/server/ServerConnection.java
@@ -226,7 +226,7 @@
     private void stutter(byte[] first, String id, Random random) throws IOException, InterruptedException {
         byte[] second = second(id, random);
         int delay = random.nextInt(MAX_EXTRA_DELAY_MS);
-        switch (random.nextInt(4)) {
+        switch (random.nextInt(6)) {
             case 0 -> {
                 byte[] both = Arrays.copyOf(first, first.length + second.length);
                 System.arraycopy(second, 0, both, first.length, second.length);
@@ -240,6 +240,14 @@
                 write(first);
                 heldBack.add(second);
             }
+            case 3 -> {
+                write(first);
+                writeLater(Arrays.copyOf(second, random.nextInt(second.length)), delay);
+            }
+            case 4 -> {
+                write(Arrays.copyOf(first, random.nextInt(first.length)));
+                writeLater(second, delay);
+            }
             default -> {
                 write(first);
                 writeInTwo(second, delay, random.nextInt(second.length));
