--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/CallerConnection.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/CallerConnection.java
@@ -20,6 +20,8 @@
 /** A connection of a caller to a VM, on which several requests may wait for their answers in order. */
 final class CallerConnection implements AutoCloseable {
     private static final int CONNECT_MS = 1_000;
+    private static final int PIECE_BYTES = 100;
+    private static final int MAX_PIECES = 40;
     private static final AtomicLong NUMBERS = new AtomicLong();
 
     private final int vm;
@@ -80,13 +82,24 @@
             waiting.add(w);
         }
         try {
-            socket.getOutputStream().write(bytes);
+            write(bytes);
         } catch (IOException e) {
             // The reader sees the end of the connection, after answers that are still in flight.
         }
         return w;
     }
 
+    /** Writes a request; a slow caller writes it piece by piece, beginning with part of the head. */
+    private void write(byte[] bytes) throws IOException {
+        int piece = slow ? Math.max(PIECE_BYTES, bytes.length / MAX_PIECES) : bytes.length;
+        for (int i = 0; i < bytes.length; i += piece) {
+            socket.getOutputStream().write(bytes, i, Math.min(piece, bytes.length - i));
+            if (slow) {
+                SlowStream.pause();
+            }
+        }
+    }
+
     private void read() {
         Outcome rest = new Outcome.Broken("closed");
         try {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/SlowStream.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/caller/SlowStream.java
@@ -19,11 +19,16 @@
 
     @Override
     public int read(byte[] bytes, int offset, int length) throws IOException {
+        pause();
+        return super.read(bytes, offset, Math.min(length, RECEIVE_BUFFER_BYTES));
+    }
+
+    /** Waits between two pieces. */
+    static void pause() throws InterruptedIOException {
         try {
             Thread.sleep(PAUSE);
         } catch (InterruptedException e) {
             throw new InterruptedIOException();
         }
-        return super.read(bytes, offset, Math.min(length, RECEIVE_BUFFER_BYTES));
     }
 }
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/FaultInjector.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/fault/FaultInjector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.Semaphore;
 import org.lycheetray.soak.check.Disturbance;
 import org.lycheetray.soak.check.Recorder;
 import org.lycheetray.soak.process.VmProcess;
@@ -17,6 +18,7 @@
 /** Injects the faults of a schedule, each on a thread of its own, and records what they disturb. */
 public final class FaultInjector {
     private static final Duration READY_LIMIT = Duration.ofSeconds(30);
+    private static final int START_TOGETHER = 8;
     private static final Duration RESTART = Duration.ofMillis(200);
 
     private final List<VmProcess> vms;
@@ -24,6 +26,7 @@
     private final StoreRows rows;
     private final StoreServer store;
     private final Recorder recorder;
+    private final Semaphore starting = new Semaphore(START_TOGETHER);
     private final Map<String, Integer> counts = new TreeMap<>();
     private final List<String> problems = new ArrayList<>();
 
@@ -122,8 +125,13 @@
     }
 
     private void start(VmProcess vm, Disturbance.Kind kind, long from) throws IOException, InterruptedException {
-        vm.start();
-        vm.awaitReady(READY_LIMIT);
+        starting.acquire();
+        try {
+            vm.start();
+            vm.awaitReady(READY_LIMIT);
+        } finally {
+            starting.release();
+        }
         recorder.add(new Disturbance(kind, vm.index(), from, recorder.nowMs()));
     }
 
