--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/Soak.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/Soak.java
@@ -39,7 +39,7 @@
         SourceTree tree;
         try {
             tree = new SourceTree(o.tree());
-            network = o.network().isPresent() ? new Network(o.network().getAsInt()) : Network.firstFree();
+            network = o.network().isPresent() ? new Network(o.network().getAsInt()) : Network.anyFree();
             network.requireFree(o.vms(), o.servers());
         } catch (IOException e) {
             throw new UsageException(e.getMessage());
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakOptions.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakOptions.java
@@ -23,7 +23,7 @@
  * @param rate requests per second of all callers
  * @param scenarios scenarios to run, one after the other
  * @param tree source tree whose VMs are run
- * @param network second octet of the loopback addresses, the first free one if empty
+ * @param network second octet of the loopback addresses, any free one if empty
  */
 record SoakOptions(
         long seed,
@@ -55,7 +55,7 @@
                 .addOption(null, "rate", true, "requests per second of all callers (150)")
                 .addOption(null, "scenario", true, "a scenario, or all (mixed): " + names())
                 .addOption(null, "tree", true, "source tree, built by its bin/build-node (this one)")
-                .addOption(null, "network", true, "second octet of the loopback addresses (the first free one)");
+                .addOption(null, "network", true, "second octet of the loopback addresses (any free one)");
         try {
             CommandLine c = new DefaultParser().parse(options, args);
             if (!c.getArgList().isEmpty()) {
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakRun.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/SoakRun.java
@@ -93,6 +93,7 @@
             t.join();
         }
         faults.join();
+        Thread.sleep(SETTLE);
         System.out.println();
         return recorder.history();
     }
--- a/lycheetray-soak/src/main/java/org/lycheetray/soak/process/Network.java
+++ b/lycheetray-soak/src/main/java/org/lycheetray/soak/process/Network.java
@@ -32,10 +32,15 @@
     private static final int FIRST_VM_BLOCK = 1;
     private static final int FIRST_SERVER_BLOCK = 100;
 
-    /** Returns the first network on which the store's port is free at the first VM's address. */
-    public static Network firstFree() throws IOException {
-        for (int n = FIRST; n <= LAST; n++) {
-            Network network = new Network(n);
+    /**
+     * Returns a network on which the store's port is free at the first VM's address. The search begins at a number of
+     * this process, so that runs that start at the same time choose different networks.
+     */
+    public static Network anyFree() throws IOException {
+        int count = LAST - FIRST + 1;
+        long begin = ProcessHandle.current().pid();
+        for (int i = 0; i < count; i++) {
+            Network network = new Network(FIRST + (int) ((begin + i) % count));
             if (network.isFree(network.at(network.vm(0), STORE_PORT))) {
                 return network;
             }
