One memory budget from the heap for requests and answers; bytes without end are cut off

Callers saw: their requests ended with the VM, or got a 502, when one server sent an answer without end or one caller sent or did not read large bodies.

Cause: two budgets counted the bytes of bodies being received, without the growth of their buffers, the copy at the end and the answers that wait for slow callers; they were sized from LYCHEETRAY_MEMORY_MB, not from the heap. Interim answers, bytes after a 101 and answers to other requests had no limit.

Why it works: MemoryBudget counts what is held, from the head of a request until its answer is written, against half of the heap. Requests and answers have a part each, so that no number of requests prevents an answer; large bodies leave room to small ones; an account has a share; answers of known length wait, of the others the largest is given up. What does not fit is refused before its body is read. Bodies are written as fast as the peer reads.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -58,15 +58,6 @@
     /** Period of closing timed-out client connections and removing expired VMs. */
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(500);
 
-    /** Divisor of the process memory that gives the limit for buffered request bodies. */
-    private static final int BODY_MEMORY_DIVISOR = 8;
-
-    /**
-     * Divisor of the process memory that gives the limit for buffered response bodies. Higher than for requests, since
-     * the length of a response may be unknown, and its buffer grows by copying.
-     */
-    private static final int RESPONSE_BODY_MEMORY_DIVISOR = 16;
-
     /**
      * Time after a stop request during which new requests are still accepted. Longer than {@link #MAX_LOOKUP_TTL},
      * because callers notice the stop only when their look-up answers expire.
@@ -103,6 +94,7 @@
     private final BackendClient backends;
     private final CallerListener callerListener;
     private final EdgeMetrics metrics;
+    private final MemoryBudget memory;
     private final ReportSchedule reportSchedule = new ReportSchedule();
     private volatile EdgeSettings.FleetLimits fleetLimits;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -115,17 +107,14 @@
         this.clock = clock;
         RandomGenerator random = new SplittableRandom();
         transport = closer.add("transport", new Transport());
+        memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory(), transport.eventLoop());
         steering = new TrafficSteering(settings, clock, random);
         fleetView = new FleetView(settings.vm(), settings.regions());
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
         metrics = new EdgeMetrics(new RequestLog(clock));
         backends = new BackendClient(
-                transport,
-                adapter.backendDialect(),
-                clock,
-                bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR),
-                new ServerObserver(steering, metrics));
+                transport, adapter.backendDialect(), clock, memory, new ServerObserver(steering, metrics));
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
                 backends,
@@ -143,17 +132,12 @@
                 .ifPresent(a -> closer.add("metrics", new AuxiliaryHttpServer(transport, a, uri -> metricsPage())));
     }
 
-    private BodyBudget bodyBudget(int divisor) {
-        return new BodyBudget(((long) settings.memoryMegabytes() << 20) / divisor);
-    }
-
     private CallerConnectionContext callerConnectionContext() {
-        BodyBudget budget = bodyBudget(BODY_MEMORY_DIVISOR);
         return new CallerConnectionContext(
                 exchanges,
                 () -> steering.config().map(TrafficConfig::limits).orElse(ClientLimits.INITIAL),
                 () -> lifecycle.phase().compareTo(Phase.LEAVING) >= 0,
-                budget,
+                memory,
                 metrics,
                 clock);
     }
@@ -176,6 +160,8 @@
                 .with("lookups", settings.lookupEndpoint())
                 .with("reports", settings.reportEndpoint())
                 .with("store", settings.storeEndpoint())
+                .with("heap-mb", Runtime.getRuntime().maxMemory() >> 20)
+                .with("budget-mb", edge.memory.limit() >> 20)
                 .info();
         return edge;
     }
@@ -192,6 +178,7 @@
                 "lycheetray_suspect_requests", () -> steering.suspects().suspectCount());
         metrics.registerGauge(
                 "lycheetray_quarantined_requests", () -> steering.suspects().quarantinedCount());
+        metrics.registerGauge("lycheetray_request_memory_bytes", memory::held);
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
         follower.onRestore(registration::onStoreRestored);
         follower.start(this::onRoutingStateChanged);
@@ -207,11 +194,12 @@
                         () -> runLoggingErrors(task), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    private static void runLoggingErrors(Runnable task) {
+    private void runLoggingErrors(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LogEvent.of("task-failed").with("cause", e).error();
+        } catch (RuntimeException | Error e) {
+            // A periodic task that throws is not run again.
+            metrics.recordError("periodic task", e);
         }
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMain.java
@@ -15,6 +15,7 @@
 import org.apache.commons.cli.ParseException;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.lifecycle.ProcessUtil;
+import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.daemon.log.LogFormat;
 import org.lycheetray.daemon.log.Logging;
 import org.lycheetray.edge.settings.EdgeSetting;
@@ -71,7 +72,15 @@
         SighupHandler.install(() -> reloader.reloadIfChanged("signal"));
         ProcessUtil.registerShutdownHook(edge::close);
         while (!edge.awaitStopped(SettingsReloader.CHECK_PERIOD)) {
-            reloader.reloadIfChanged("file");
+            try {
+                reloader.reloadIfChanged("file");
+            } catch (RuntimeException | OutOfMemoryError e) {
+                // This is the only thread that keeps the process running.
+                LogEvent.of("task-failed")
+                        .with("where", "settings")
+                        .with("cause", e)
+                        .error();
+            }
         }
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -65,6 +65,22 @@
                 .with("cause", reason));
     }
 
+    @Override
+    public void connectionFailed(Throwable error) {
+        recordError("caller", error);
+    }
+
+    /**
+     * Records an unexpected error, after which the VM goes on.
+     *
+     * @param where connection or task that it ended
+     * @param error the error
+     */
+    void recordError(String where, Throwable error) {
+        registry.counter("lycheetray_errors_total").inc();
+        LogEvent.of("task-failed").with("where", where).with("cause", error).error();
+    }
+
     /**
      * Records that an answer did not belong to the request that was running on its connection.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
@@ -27,4 +27,9 @@
     public void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status) {
         metrics.recordIgnoredAnswer(server, requestId, answeredId, status);
     }
+
+    @Override
+    public void connectionFailed(RegisteredServer server, Throwable error) {
+        metrics.recordError("server " + server.name(), error);
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.edge.MemoryBudget;
 
 /** Result of one attempt to run a request on a backend server. */
 public sealed interface AttemptResult {
@@ -23,8 +24,10 @@
      * @param status HTTP status code
      * @param headers headers
      * @param body body
+     * @param memory memory of the body, to be closed when it is no longer held
      */
-    record Answer(int status, HttpHeaders headers, Body body) implements AttemptResult {}
+    record Answer(int status, HttpHeaders headers, Body body, MemoryBudget.AnswerMemory memory)
+            implements AttemptResult {}
 
     /**
      * The request did not run on the server and never will.
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.flow.FlowControlHandler;
+import io.netty.handler.stream.ChunkedWriteHandler;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -20,7 +22,7 @@
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
-import org.lycheetray.edge.BodyBudget;
+import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.Transport;
 import org.lycheetray.edge.dialect.BackendDialect;
 
@@ -36,7 +38,7 @@
     private final Bootstrap bootstrap;
     private final BackendDialect dialect;
     private final Clock clock;
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     private final ServerEvents events;
     private final Map<BackendServerName, Pool> pools = new HashMap<>();
 
@@ -58,11 +60,11 @@
      * @param transport provides the event loop and its sockets
      * @param dialect headers exchanged with backend servers
      * @param clock used to measure idle times
-     * @param budget limit of the memory for response bodies
+     * @param budget limit of the memory for answers
      * @param events receives what connections reveal about their servers
      */
     public BackendClient(
-            Transport transport, BackendDialect dialect, Clock clock, BodyBudget budget, ServerEvents events) {
+            Transport transport, BackendDialect dialect, Clock clock, MemoryBudget budget, ServerEvents events) {
         this.bootstrap = transport.clientBootstrap(CONNECT_TIMEOUT);
         this.dialect = dialect;
         this.clock = clock;
@@ -149,7 +151,14 @@
                                 () -> returnToPool(pool, holder.get()),
                                 pool.server,
                                 events));
-                        ch.pipeline().addLast(new HttpRequestEncoder(), decoder, holder.get());
+                        ch.pipeline()
+                                .addLast(
+                                        holder.get().byteCounter(),
+                                        new HttpRequestEncoder(),
+                                        decoder,
+                                        new FlowControlHandler(),
+                                        new ChunkedWriteHandler(),
+                                        holder.get());
                     }
                 })
                 .connect(pool.server.endpoint().host(), pool.server.endpoint().port());
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -1,23 +1,22 @@
 package org.lycheetray.edge.backend;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,7 +25,9 @@
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
-import org.lycheetray.edge.BodyBudget;
+import org.lycheetray.edge.BodyBuffer;
+import org.lycheetray.edge.BodyWriter;
+import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.dialect.BackendDialect;
 
 /**
@@ -40,6 +41,9 @@
     /** Largest answer body that is buffered, in bytes; a larger one fails the attempt. */
     private static final int MAX_BODY_BYTES = 32 << 20;
 
+    /** Largest number of bytes that are skipped between two bytes of an answer, such as interim answers. */
+    private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
     /** Share of the announced idle timeout in which a connection is reused, so that no request meets its closing. */
     private static final double IDLE_TIMEOUT_SHARE = 0.6;
 
@@ -53,7 +57,7 @@
     private final ResponseDecoder decoder;
     private final BackendDialect dialect;
     private final Clock clock;
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     private final Runnable onIdle;
     private final RegisteredServer server;
     private final ServerEvents events;
@@ -64,7 +68,11 @@
     private boolean complete;
     private boolean answeredBefore;
     private boolean connectionReset;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private boolean written;
+    private int skippedBytes;
+    private long answerBytes;
+    private MemoryBudget.AnswerMemory memory;
+    private BodyBuffer body;
     private Duration idleLimit = DEFAULT_IDLE_TIMEOUT;
     private MonotonicTime idleSince;
 
@@ -73,7 +81,7 @@
             ResponseDecoder decoder,
             BackendDialect dialect,
             Clock clock,
-            BodyBudget budget,
+            MemoryBudget budget,
             Runnable onIdle,
             RegisteredServer server,
             ServerEvents events) {
@@ -86,6 +94,28 @@
         this.server = server;
         this.events = events;
         this.idleSince = clock.monotonic();
+        openBody();
+    }
+
+    /** Creates the handler that counts bytes before they are decoded, since the decoder skips some without an event. */
+    ChannelInboundHandlerAdapter byteCounter() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object msg) {
+                if (msg instanceof ByteBuf b) {
+                    skippedBytes += b.readableBytes();
+                }
+                ctx.fireChannelRead(msg);
+                limitSkippedBytes();
+            }
+        };
+    }
+
+    private void limitSkippedBytes() {
+        if (skippedBytes > MAX_SKIPPED_BYTES && channel.isActive()) {
+            failAttempt("bytes that are no answer: " + skippedBytes + " bytes were skipped");
+            var _ = channel.close();
+        }
     }
 
     boolean isReusable() {
@@ -110,19 +140,24 @@
         complete = false;
         next.onCancel(this::cancelAttempt);
         next.markSent();
-        HttpHeaders headers = r.headers().get();
-        var _ = channel.writeAndFlush(new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        r.method(),
-                        r.uri(),
-                        Unpooled.wrappedBuffer(r.body().bytes()),
-                        headers,
-                        EmptyHttpHeaders.INSTANCE))
+        written = false;
+        skippedBytes = 0;
+        answerBytes = 0;
+        var _ = BodyWriter.write(
+                        channel,
+                        new DefaultHttpRequest(
+                                HttpVersion.HTTP_1_1,
+                                r.method(),
+                                r.uri(),
+                                r.headers().get()),
+                        r.body().bytes())
                 .addListener(f -> {
+                    written = true;
                     if (!f.isSuccess()) {
                         loseConnection("write failed: " + f.cause());
                     }
                 });
+        channel.flush();
     }
 
     private void cancelAttempt() {
@@ -167,6 +202,11 @@
         unusable |= mismatched;
         head = r;
         dropBody();
+        if (!mismatched) {
+            skippedBytes = 0;
+            answerBytes = 0;
+            reserveLength(r);
+        }
         if (mismatched) {
             events.answerIgnored(
                     server,
@@ -208,19 +248,18 @@
             return;
         }
         ByteBuf bytes = c.content();
-        if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+        answerBytes += bytes.readableBytes();
+        skippedBytes -= Math.min(skippedBytes, bytes.readableBytes());
+        if (answerBytes > MAX_BODY_BYTES) {
             failAttempt("response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
             var _ = channel.close();
             return;
         }
-        if (!budget.tryReserve(bytes.readableBytes())) {
-            failAttempt("response body at " + body.size() + " bytes exceeds the memory left for response bodies");
+        if (!mismatched && !body.append(bytes)) {
+            failAttempt("response body at " + body.length() + " bytes exceeds the memory left for response bodies");
             var _ = channel.close();
             return;
         }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.writeBytes(copy);
         if (c instanceof LastHttpContent) {
             completeResponse();
         }
@@ -243,7 +282,9 @@
         readKeepAliveTimeout(h);
         Attempt a = attempt;
         AttemptResult result = toResult(status, h);
-        dropBody();
+        if (!(result instanceof AttemptResult.Answer)) {
+            dropBody();
+        }
         if (!channel.isActive()) {
             release();
         }
@@ -260,7 +301,12 @@
         if (h.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             return new AttemptResult.Unknown("response has a Content-Encoding that was not requested", false);
         }
-        return new AttemptResult.Answer(status, h, new Body(body.toByteArray()));
+        Optional<Body> whole = body.take();
+        if (whole.isEmpty()) {
+            return new AttemptResult.Unknown("response body exceeds the memory left for response bodies", false);
+        }
+        memory.complete();
+        return new AttemptResult.Answer(status, h, whole.get(), memory);
     }
 
     private void readKeepAliveTimeout(HttpHeaders h) {
@@ -293,18 +339,51 @@
         attempt = null;
         complete = false;
         head = null;
-        if (unusable) {
-            var _ = channel.close();
+        skippedBytes = 0;
+        openBody();
+        if (unusable || !written) {
+            close();
         } else if (channel.isActive()) {
             idleSince = clock.monotonic();
             onIdle.run();
         }
     }
 
+    /** Begins a body with memory of its own; that of the body before belongs to its answer, or has been released. */
+    private void openBody() {
+        memory = budget.openAnswer(this::giveUpAnswer);
+        body = BodyBuffer.ofUnknownLength(memory);
+    }
+
+    /** Reserves the length that an answer announces; reading stops until it is free. */
+    private void reserveLength(HttpResponse r) {
+        long length = HttpUtil.getContentLength(r, 0L);
+        if (length <= 0
+                || HttpUtil.isTransferEncodingChunked(r)
+                || r.status().equals(HttpResponseStatus.NOT_MODIFIED)
+                || attempt.request().method().equals(HttpMethod.HEAD)) {
+            return;
+        }
+        if (length > Math.min(MAX_BODY_BYTES, budget.maxAnswerBytes())) {
+            failAttempt("response body of " + length + " bytes exceeds the limit");
+            var _ = channel.close();
+            return;
+        }
+        body = BodyBuffer.ofReserved(memory, (int) length);
+        if (!memory.reserveLength(length, () -> channel.config().setAutoRead(true))) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    private void giveUpAnswer() {
+        failAttempt("response body at " + body.length() + " bytes given up for the memory of smaller ones");
+        var _ = channel.close();
+    }
+
     /** Drops the buffered body and releases its memory. */
     private void dropBody() {
-        budget.release(body.size());
-        body = new ByteArrayOutputStream();
+        memory.close();
+        openBody();
     }
 
     private void failAttempt(String cause) {
@@ -328,6 +407,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         connectionReset |= cause instanceof IOException;
+        if (!(cause instanceof IOException)) {
+            events.connectionFailed(server, cause);
+        }
         endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), connectionReset));
         var _ = ctx.close();
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -30,4 +30,12 @@
      * @param status status of the answer
      */
     void answerIgnored(RegisteredServer server, String requestId, Optional<String> answeredId, int status);
+
+    /**
+     * A connection is closed because of an unexpected error.
+     *
+     * @param server the server
+     * @param error the error
+     */
+    void connectionFailed(RegisteredServer server, Throwable error);
 }
--- /dev/null
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/AttemptResultUtil.java
@@ -0,0 +1,48 @@
+package org.lycheetray.edge.exchange;
+
+import java.time.Duration;
+import java.util.Locale;
+import org.lycheetray.core.placement.AttemptOutcome;
+import org.lycheetray.edge.backend.AttemptResult;
+
+/** Says what the results of attempts mean for the log, for placement and for callers. */
+final class AttemptResultUtil {
+    private AttemptResultUtil() {}
+
+    static String describe(AttemptResult result) {
+        return switch (result) {
+            case AttemptResult.Answer a -> Integer.toString(a.status());
+            case AttemptResult.NotRun n -> "not-run:" + n.reason().name().toLowerCase(Locale.ROOT);
+            case AttemptResult.Unknown u -> "unknown:" + u.cause();
+        };
+    }
+
+    static AttemptOutcome outcome(AttemptResult result, Duration took) {
+        return switch (result) {
+            case AttemptResult.Answer a ->
+                a.status() >= 500 ? new AttemptOutcome.ServerError(took) : new AttemptOutcome.Answered(took);
+            case AttemptResult.Unknown u -> new AttemptOutcome.ConnectionLost();
+            case AttemptResult.NotRun n ->
+                switch (n.reason()) {
+                    case UNREACHABLE -> new AttemptOutcome.Unreachable();
+                    case MISDIRECTED -> new AttemptOutcome.Misdirected();
+                    case SHED, NO_CONNECTION -> new AttemptOutcome.Shed();
+                };
+        };
+    }
+
+    /**
+     * Returns whether a status promises callers that the request has not run. An answer to a request that may have run
+     * must not be delivered with such a status.
+     */
+    static boolean indicatesNotRun(int status) {
+        return status == 429 || status == 503 || status == 408 || status == 421;
+    }
+
+    /** Releases the memory of a result that is not delivered. */
+    static void release(AttemptResult result) {
+        if (result instanceof AttemptResult.Answer a) {
+            a.memory().close();
+        }
+    }
+}
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -47,9 +47,6 @@
     /** Time after the deadline in which an answer that is already on its way may still arrive. */
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(40);
 
-    /** Longest time that a caller is taken to wait; longer ones would overflow the time of the deadline. */
-    private static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
-
     /** Time reserved for delivering the reply, which is useless after the caller's timeout has passed. */
     private static final Duration REPLY_DELIVERY_TIME = Duration.ofMillis(50);
 
@@ -59,6 +56,9 @@
     /** Retry-After of a VM that is leaving; another VM can take the request at once. */
     private static final Duration LEAVING_RETRY_AFTER = Duration.ofMillis(50);
 
+    /** Retry-After of a VM whose memory for requests is used up; it is free again when some of them are answered. */
+    private static final Duration NO_MEMORY_RETRY_AFTER = Duration.ofMillis(500);
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /** Placeholder that matches no server, used if the route and the account have no region in common. */
@@ -150,6 +150,11 @@
         }
     }
 
+    /** Ends the exchange because the memory of the request can't be reserved. */
+    void refuseForMemory() {
+        refuse(Outcome.NO_MEMORY, NO_MEMORY_RETRY_AFTER);
+    }
+
     private void admit(TrafficConfig config) {
         version = config.version();
         route = config.route(request.headers().get(HttpHeaderNames.HOST, ""), request.path());
@@ -208,11 +213,8 @@
     }
 
     private void preparePlacement(TrafficRoute r) {
-        Duration callerTimeout = context.callers()
-                .timeout(request.headers())
-                .map(d -> d.compareTo(MAX_CALLER_TIMEOUT) < 0 ? d : MAX_CALLER_TIMEOUT)
-                .orElse(r.timeout());
-        deadline = request.received().plus(callerTimeout.compareTo(r.timeout()) < 0 ? callerTimeout : r.timeout());
+        Duration callerTimeout = RequestTimeout.ofCaller(context, request.headers(), r);
+        deadline = request.received().plus(RequestTimeout.ofRequest(context, request.headers(), r));
         MonotonicTime lastUsefulReply = request.received().plus(callerTimeout).plus(REPLY_DELIVERY_TIME.negated());
         ServiceName s = context.steering().selectService(r);
         service = Optional.of(s);
@@ -354,19 +356,20 @@
         Duration took = now.since(r.startedAt());
         runningAttempts.remove(r);
         PlacementDecision.Send send = r.decision();
-        appendToAttemptLog(send.name() + " " + took.toMillis() + "ms " + describe(result));
+        appendToAttemptLog(send.name() + " " + took.toMillis() + "ms " + AttemptResultUtil.describe(result));
         if (result instanceof AttemptResult.Answer a) {
             context.servers()
                     .reportedLoad(a.headers())
                     .ifPresent(l -> context.steering().placement().recordReportedLoad(send.name(), l, now));
         }
-        context.steering().placement().recordEnd(placement, send, attemptOutcome(result, took), now);
+        context.steering().placement().recordEnd(placement, send, AttemptResultUtil.outcome(result, took), now);
         exchanges.scheduleRetryPending();
         if (result instanceof AttemptResult.Unknown u && u.connectionLost()) {
             handleLostConnection(send.server());
             return;
         }
         if (finished) {
+            AttemptResultUtil.release(result);
             return;
         }
         switch (result) {
@@ -401,28 +404,6 @@
         }
     }
 
-    private static String describe(AttemptResult result) {
-        return switch (result) {
-            case AttemptResult.Answer a -> Integer.toString(a.status());
-            case AttemptResult.NotRun n -> "not-run:" + n.reason().name().toLowerCase(Locale.ROOT);
-            case AttemptResult.Unknown u -> "unknown:" + u.cause();
-        };
-    }
-
-    private AttemptOutcome attemptOutcome(AttemptResult result, Duration took) {
-        return switch (result) {
-            case AttemptResult.Answer a ->
-                a.status() >= 500 ? new AttemptOutcome.ServerError(took) : new AttemptOutcome.Answered(took);
-            case AttemptResult.Unknown u -> new AttemptOutcome.ConnectionLost();
-            case AttemptResult.NotRun n ->
-                switch (n.reason()) {
-                    case UNREACHABLE -> new AttemptOutcome.Unreachable();
-                    case MISDIRECTED -> new AttemptOutcome.Misdirected();
-                    case SHED, NO_CONNECTION -> new AttemptOutcome.Shed();
-                };
-        };
-    }
-
     private void handleAnswer(AttemptResult.Answer a) {
         boolean success = a.status() / 100 == 2;
         boolean signed = context.servers().isSigned(a.headers());
@@ -430,13 +411,16 @@
             context.steering().recordRequestAnswered(fingerprint);
         }
         if (success && !signed) {
+            a.memory().close();
             mayHaveRun = true;
             retryIfIdempotentOrElse(() -> finish(Outcome.UNKNOWN, Optional.empty()));
-        } else if (indicatesNotRun(a.status())) {
+        } else if (AttemptResultUtil.indicatesNotRun(a.status())) {
+            a.memory().close();
             mayHaveRun = true;
             retryIfIdempotentOrElse(() -> finish(Outcome.UNKNOWN, Optional.empty()));
         } else if (a.status() >= 500) {
             mayHaveRun = true;
+            fallbackAnswer.ifPresent(AttemptResultUtil::release);
             fallbackAnswer = Optional.of(a);
             retryIfIdempotentOrElse(() -> deliver(a));
         } else {
@@ -444,14 +428,6 @@
         }
     }
 
-    /**
-     * Returns whether a status promises callers that the request has not run. An answer to a request that may have run
-     * must not be delivered with such a status.
-     */
-    private static boolean indicatesNotRun(int status) {
-        return status == 429 || status == 503 || status == 408 || status == 421;
-    }
-
     private void retryIfIdempotentOrElse(Runnable otherwise) {
         if (runningAttempts.isEmpty()) {
             if (placement.route().isIdempotent() && canRetry(true)) {
@@ -540,8 +516,10 @@
 
     private void deliver(AttemptResult.Answer a) {
         HttpHeaders h = HopByHopUtil.copyEndToEnd(a.headers());
+        fallbackAnswer.filter(f -> !f.memory().equals(a.memory())).ifPresent(AttemptResultUtil::release);
+        fallbackAnswer = Optional.empty();
         recordFinished("answered", a.status());
-        responder.accept(new Reply(a.status(), h, a.body()));
+        responder.accept(new Reply(a.status(), h, a.body(), Optional.of(a.memory())));
     }
 
     private void refuse(Outcome outcome, Duration retryAfter) {
@@ -569,6 +547,8 @@
 
     private void recordFinished(String outcome, int status) {
         finished = true;
+        fallbackAnswer.ifPresent(AttemptResultUtil::release);
+        fallbackAnswer = Optional.empty();
         cancelRunningAttempts();
         cancel(deadlineTimer);
         cancel(hedgeTimer);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -1,10 +1,16 @@
 package org.lycheetray.edge.exchange;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.traffic.AccountPolicy;
 
 /**
  * Starts and counts the exchanges in progress, and retries those that wait for a backend server.
@@ -44,6 +50,46 @@
         return e;
     }
 
+    /**
+     * Refuses a request whose memory can't be reserved.
+     *
+     * @param request the request, without its body
+     * @param responder called with the reply
+     * @return the exchange, which has finished
+     */
+    public Exchange refuseForMemory(IncomingRequest request, Consumer<Reply> responder) {
+        Exchange e = new Exchange(this, context, request, sequence++, responder);
+        e.refuseForMemory();
+        return e;
+    }
+
+    /**
+     * Returns the client account of a request.
+     *
+     * @param headers headers of the request
+     * @return the account, or empty if the request has no key or one that no account holds
+     */
+    public Optional<ClientAccountName> account(HttpHeaders headers) {
+        return context.steering()
+                .config()
+                .flatMap(c -> context.callers().accountKey(headers).flatMap(c::account))
+                .map(AccountPolicy::name);
+    }
+
+    /**
+     * Returns the time from the head of a request to its deadline.
+     *
+     * @param uri path and query
+     * @param headers headers of the request
+     * @return the time, or empty if no route serves the request
+     */
+    public Optional<Duration> timeout(String uri, HttpHeaders headers) {
+        return context.steering()
+                .config()
+                .flatMap(c -> c.route(headers.get(HttpHeaderNames.HOST, ""), IncomingRequest.path(uri)))
+                .map(r -> RequestTimeout.ofRequest(context, headers, r));
+    }
+
     /** Refuses all further requests as not run because the VM is leaving the fleet. */
     public void startRefusing() {
         refusing = true;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/IncomingRequest.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/IncomingRequest.java
@@ -21,6 +21,10 @@
      * @return the URI without the query
      */
     public String path() {
+        return path(uri);
+    }
+
+    static String path(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -1,7 +1,5 @@
 package org.lycheetray.edge.front;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,7 +7,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -24,11 +22,14 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
+import org.lycheetray.edge.BodyBuffer;
+import org.lycheetray.edge.BodyWriter;
+import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.exchange.Exchange;
 import org.lycheetray.edge.exchange.IncomingRequest;
 import org.lycheetray.edge.exchange.Reply;
@@ -39,6 +40,9 @@
  * <p>Pipelined requests run concurrently; their replies are sent in the order of the requests.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Memory counted for a request besides its body: its head, its copy for the server, and what is kept about it. */
+    private static final int HEAD_BYTES = 8 << 10;
+
     /** Maximum number of concurrent requests of a connection; reading is suspended while it is reached. */
     private static final int MAX_PIPELINED = 16;
 
@@ -47,8 +51,11 @@
     private final ArrayDeque<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
     private HttpRequest head;
     private MonotonicTime headReceivedAt;
-    private ByteArrayOutputStream body;
-    private int reservedBytes;
+    private BodyBuffer body;
+    private MemoryBudget.RequestMemory memory;
+    private Optional<MonotonicTime> uploadDeadline = Optional.empty();
+    private boolean discarding;
+    private long discardedBytes;
     private MonotonicTime lastUsedAt;
     private Optional<MonotonicTime> headStartedAt = Optional.empty();
     private int repliesBeingWritten;
@@ -60,16 +67,31 @@
     private static final class PipelinedRequest {
         private final HttpMethod method;
         private final boolean keepAlive;
+        private final MemoryBudget.RequestMemory memory;
+        private String id = "";
         private Exchange exchange;
         private Reply reply;
 
         String id() {
-            return exchange == null ? "" : exchange.id();
+            return id;
         }
 
-        PipelinedRequest(HttpMethod method, boolean keepAlive) {
+        PipelinedRequest(HttpMethod method, boolean keepAlive, MemoryBudget.RequestMemory memory) {
             this.method = method;
             this.keepAlive = keepAlive;
+            this.memory = memory;
+        }
+
+        void setExchange(Exchange e) {
+            id = e.id();
+            exchange = reply == null ? e : null;
+        }
+
+        /** Keeps the reply in place of the exchange, which holds the request. */
+        void setReply(Reply r) {
+            reply = r;
+            exchange = null;
+            memory.close();
         }
     }
 
@@ -81,7 +103,7 @@
 
     /** Records the arrival of bytes before they are decoded, so that the age of an incomplete head is known. */
     void recordBytesArrived() {
-        if (head == null && headStartedAt.isEmpty()) {
+        if (head == null && !discarding && headStartedAt.isEmpty()) {
             headStartedAt = Optional.of(context.clock().monotonic());
         }
     }
@@ -101,6 +123,8 @@
             }
             if (msg instanceof HttpContent c && head != null) {
                 handleContent(c);
+            } else if (msg instanceof HttpContent c && discarding) {
+                discard(c);
             }
         } finally {
             ReferenceCountUtil.release(msg);
@@ -108,58 +132,96 @@
     }
 
     private void handleHead(HttpRequest r) {
+        discarding = false;
         head = r;
         headReceivedAt = context.clock().monotonic();
         lastUsedAt = headReceivedAt;
         headStartedAt = Optional.empty();
-        body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(r, 0L) > context.limits().get().maxBodyBytes()) {
+        long length = HttpUtil.getContentLength(r, 0L);
+        if (length > context.limits().get().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (HttpUtil.is100ContinueExpected(r)) {
+            return;
+        }
+        memory = context.budget().openRequest(context.exchanges().account(r.headers()));
+        if (!memory.tryGrow(HEAD_BYTES + length)) {
+            refuseForMemory();
+            return;
+        }
+        uploadDeadline = context.exchanges().timeout(r.uri(), r.headers()).map(headReceivedAt::plus);
+        body = length > 0 ? BodyBuffer.ofReserved(memory, (int) length) : BodyBuffer.ofUnknownLength(memory);
+        if (HttpUtil.is100ContinueExpected(r)) {
             var _ = channel.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
     private void handleContent(HttpContent c) {
-        ByteBuf bytes = c.content();
-        int n = bytes.readableBytes();
-        if (body.size() + (long) n > context.limits().get().maxBodyBytes()) {
+        lastUsedAt = context.clock().monotonic();
+        boolean last = c instanceof LastHttpContent;
+        if (body.length() + (long) c.content().readableBytes()
+                > context.limits().get().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        if (!context.budget().tryReserve(n)) {
-            rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            return;
+        } else if (!body.append(c.content())) {
+            refuseForMemory();
+        } else if (last) {
+            body.take().ifPresentOrElse(this::startExchange, this::refuseForMemory);
         }
-        reservedBytes += n;
-        byte[] copy = new byte[n];
-        bytes.readBytes(copy);
-        body.writeBytes(copy);
-        if (c instanceof LastHttpContent) {
-            startExchange();
+        discarding &= !last;
+    }
+
+    /** Drops a part of the body of a refused request. */
+    private void discard(HttpContent c) {
+        lastUsedAt = context.clock().monotonic();
+        discardedBytes += c.content().readableBytes();
+        discarding = !(c instanceof LastHttpContent);
+        if (discardedBytes > context.limits().get().maxBodyBytes()) {
+            closing = true;
+            var _ = channel.close();
         }
     }
 
-    private void startExchange() {
+    private void startExchange(Body whole) {
         HttpRequest r = head;
-        byte[] bytes = body.toByteArray();
-        context.budget().release(reservedBytes);
-        reservedBytes = 0;
+        PipelinedRequest pipelined = new PipelinedRequest(r.method(), HttpUtil.isKeepAlive(r), memory);
+        forgetRequest();
+        pipelinedRequests.addLast(pipelined);
+        IncomingRequest request = new IncomingRequest(r.method(), r.uri(), r.headers(), whole, headReceivedAt);
+        pipelined.setExchange(context.exchanges().start(request, reply -> handleReply(pipelined, reply)));
+        suspendReadingIfFull();
+    }
+
+    /**
+     * Refuses the request that is being received, because its memory can't be reserved. The rest of its body is read
+     * and dropped, so that the caller gets the reply.
+     */
+    private void refuseForMemory() {
+        HttpRequest r = head;
+        boolean keepAlive = HttpUtil.isKeepAlive(r) && !HttpUtil.is100ContinueExpected(r);
+        memory.close();
+        PipelinedRequest pipelined = new PipelinedRequest(r.method(), keepAlive, memory);
+        forgetRequest();
+        discarding = true;
+        discardedBytes = 0;
+        pipelinedRequests.addLast(pipelined);
+        IncomingRequest request = new IncomingRequest(r.method(), r.uri(), r.headers(), Body.EMPTY, headReceivedAt);
+        pipelined.setExchange(context.exchanges().refuseForMemory(request, reply -> handleReply(pipelined, reply)));
+        suspendReadingIfFull();
+    }
+
+    private void forgetRequest() {
         head = null;
         body = null;
-        PipelinedRequest pipelined = new PipelinedRequest(r.method(), HttpUtil.isKeepAlive(r));
-        pipelinedRequests.addLast(pipelined);
-        IncomingRequest request =
-                new IncomingRequest(r.method(), r.uri(), r.headers(), new Body(bytes), headReceivedAt);
-        pipelined.exchange = context.exchanges().start(request, reply -> handleReply(pipelined, reply));
+        memory = null;
+    }
+
+    private void suspendReadingIfFull() {
         if (pipelinedRequests.size() >= MAX_PIPELINED) {
             channel.config().setAutoRead(false);
         }
     }
 
     private void handleReply(PipelinedRequest pipelined, Reply reply) {
-        pipelined.reply = reply;
+        pipelined.setReply(reply);
         while (!pipelinedRequests.isEmpty() && pipelinedRequests.getFirst().reply != null && !closing) {
             writeReply(pipelinedRequests.removeFirst());
         }
@@ -183,18 +245,16 @@
         if (last) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        ByteBuf content = bodyless || pipelined.method.equals(HttpMethod.HEAD)
-                ? Unpooled.EMPTY_BUFFER
-                : Unpooled.wrappedBuffer(reply.body().bytes());
-        var f = channel.write(new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(reply.status()),
-                content,
-                headers,
-                EmptyHttpHeaders.INSTANCE));
+        var f = BodyWriter.write(
+                channel,
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), headers),
+                bodyless || pipelined.method.equals(HttpMethod.HEAD)
+                        ? Body.EMPTY.bytes()
+                        : reply.body().bytes());
         repliesBeingWritten++;
         var _ = f.addListener(done -> {
             repliesBeingWritten--;
+            reply.memory().ifPresent(MemoryBudget.AnswerMemory::close);
             lastUsedAt = context.clock().monotonic();
             if (!done.isSuccess()) {
                 context.observer().replyNotDelivered(pipelined.id(), reply.status(), closeCause);
@@ -220,11 +280,9 @@
 
     /** Rejects an unreadable request after the replies to earlier requests, and closes the connection. */
     private void rejectAndClose(HttpResponseStatus status) {
-        context.budget().release(reservedBytes);
-        reservedBytes = 0;
-        head = null;
-        body = null;
-        PipelinedRequest pipelined = new PipelinedRequest(HttpMethod.GET, false);
+        releaseUnfinishedRequest();
+        PipelinedRequest pipelined =
+                new PipelinedRequest(HttpMethod.GET, false, context.budget().openRequest(Optional.empty()));
         pipelinedRequests.addLast(pipelined);
         channel.config().setAutoRead(false);
         handleReply(pipelined, new Reply(status.code(), new DefaultHttpHeaders(), Body.EMPTY));
@@ -234,31 +292,45 @@
         pipelinedRequests.forEach(s -> {
             if (s.reply != null) {
                 context.observer().replyNotDelivered(s.id(), s.reply.status(), cause);
+                s.reply.memory().ifPresent(MemoryBudget.AnswerMemory::close);
             }
             if (s.exchange != null) {
                 s.exchange.callerDisconnected();
             }
+            s.memory.close();
         });
         pipelinedRequests.clear();
-        context.budget().release(reservedBytes);
-        reservedBytes = 0;
+        releaseUnfinishedRequest();
+    }
+
+    private void releaseUnfinishedRequest() {
+        if (memory != null) {
+            memory.close();
+        }
+        forgetRequest();
     }
 
     /**
-     * Closes the connection if it has no request in progress and exceeds the idle timeout or the header timeout. A
-     * connection on which a reply is being written is idle while the caller reads nothing of it.
+     * Closes the connection if it has no request in progress and exceeds the idle timeout or the header timeout, or if
+     * the body of a request is not there at the deadline of the request. A connection on which a reply is being written
+     * is idle while the caller reads nothing of it.
      */
     void closeIfTimedOut(MonotonicTime now) {
         recordWriteProgress(now);
-        if (!pipelinedRequests.isEmpty() || head != null || closing) {
+        if (!pipelinedRequests.isEmpty() || closing) {
             return;
         }
         var limits = context.limits().get();
         boolean slowHead = headStartedAt
                 .filter(t -> now.since(t).compareTo(limits.headerTimeout()) > 0)
                 .isPresent();
+        boolean slowBody = uploadDeadline.filter(t -> t.isBefore(now)).isPresent();
         boolean idle = now.since(lastUsedAt).compareTo(limits.idleTimeout()) > 0;
-        if (slowHead || idle) {
+        if (head != null) {
+            if (idle || slowBody) {
+                rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        } else if (slowHead || idle) {
             closing = true;
             var _ = channel.close();
         }
@@ -304,6 +376,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            context.observer().connectionFailed(cause);
+        }
         var _ = ctx.close();
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnectionContext.java
@@ -4,7 +4,7 @@
 import java.util.function.Supplier;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.traffic.ClientLimits;
-import org.lycheetray.edge.BodyBudget;
+import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.exchange.Exchanges;
 
 /**
@@ -13,7 +13,7 @@
  * @param exchanges starts the exchange of each request
  * @param limits supplies the limits in force
  * @param leaving returns true once connections must be closed after the requests in progress
- * @param budget limit of the memory for request bodies
+ * @param budget limit of the memory for requests and answers
  * @param observer receives the replies that were not delivered
  * @param clock source of the current time
  */
@@ -21,6 +21,6 @@
         Exchanges exchanges,
         Supplier<ClientLimits> limits,
         BooleanSupplier leaving,
-        BodyBudget budget,
+        MemoryBudget budget,
         ReplyObserver observer,
         Clock clock) {}
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerListener.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.stream.ChunkedWriteHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -60,6 +61,7 @@
                         },
                         new RequestDecoder(context.limits().get().maxHeaderBytes()),
                         new HttpResponseEncoder(),
+                        new ChunkedWriteHandler(),
                         c);
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/ReplyObserver.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/ReplyObserver.java
@@ -1,7 +1,6 @@
 package org.lycheetray.edge.front;
 
 /** Receives the replies that did not reach their caller, for logs and metrics. */
-@FunctionalInterface
 public interface ReplyObserver {
     /** Reasons why a reply did not reach its caller. */
     enum Cause {
@@ -21,4 +20,11 @@
      * @param cause why it was not delivered
      */
     void replyNotDelivered(String requestId, int status, Cause cause);
+
+    /**
+     * Records that a connection is closed because of an unexpected error.
+     *
+     * @param error the error
+     */
+    void connectionFailed(Throwable error);
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSetting.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/settings/EdgeSetting.java
@@ -25,8 +25,8 @@
     METRICS("host:port for metrics; empty to serve none", ""),
     /** Address of the store. */
     STORE("host:port of the store", ""),
-    /** Memory of the process in MB, from which the limit for buffered request bodies is derived. */
-    MEMORY_MB("memory of the whole process in MB", "430"),
+    /** Memory of the process in MB; the limit for bodies follows from the heap. */
+    MEMORY_MB("memory of the whole process in MB; not used, the limit for bodies follows from the heap", "430"),
     /** Grace period of a planned stop in seconds. */
     GRACE_S("seconds from the stop request until the process is killed", "6"),
     /** Longest TTL of a look-up answer in seconds. */
