--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -63,15 +63,6 @@
     /** Period of closing timed-out client connections and removing expired VMs. */
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(500);
 
-    /** Divisor of the process memory that gives the limit for buffered request bodies. */
-    private static final int BODY_MEMORY_DIVISOR = 8;
-
-    /**
-     * Divisor of the process memory that gives the limit for buffered response bodies. Higher than for requests, since
-     * the length of a response may be unknown, and its buffer grows by copying.
-     */
-    private static final int RESPONSE_BODY_MEMORY_DIVISOR = 16;
-
     /** Period at which the planned stop checks whether requests are still in progress. */
     private static final Duration POLL_PERIOD = Duration.ofMillis(20);
 
@@ -99,6 +90,7 @@
     private final CallerListener callerListener;
     private final EdgeMetrics metrics;
     private final ServerObserver serverObserver;
+    private final MemoryBudget memory;
     private final ReportSchedule reportSchedule = new ReportSchedule();
     private volatile EdgeSettings.FleetLimits fleetLimits;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -111,14 +103,14 @@
         this.clock = clock;
         RandomGenerator random = new SplittableRandom();
         transport = closer.add("transport", new Transport());
+        memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory(), transport.eventLoop());
         steering = new TrafficSteering(settings, clock, random);
         fleetView = new FleetView(settings.vm(), settings.regions());
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
         metrics = new EdgeMetrics(new RequestLog(clock));
         serverObserver = new ServerObserver(steering, metrics, clock);
-        backends = new BackendClient(
-                transport, adapter.backendDialect(), clock, bodyBudget(RESPONSE_BODY_MEMORY_DIVISOR), serverObserver);
+        backends = new BackendClient(transport, adapter.backendDialect(), clock, memory, serverObserver);
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
                 backends,
@@ -136,17 +128,12 @@
                 .ifPresent(a -> closer.add("metrics", new AuxiliaryHttpServer(transport, a, uri -> metricsPage())));
     }
 
-    private BodyBudget bodyBudget(int divisor) {
-        return new BodyBudget(((long) settings.memoryMegabytes() << 20) / divisor);
-    }
-
     private CallerConnectionContext callerConnectionContext() {
-        BodyBudget budget = bodyBudget(BODY_MEMORY_DIVISOR);
         return new CallerConnectionContext(
                 exchanges,
                 () -> steering.config().map(TrafficConfig::limits).orElse(ClientLimits.INITIAL),
                 () -> lifecycle.phase().compareTo(Phase.LEAVING) >= 0,
-                budget,
+                memory,
                 metrics,
                 clock);
     }
@@ -169,6 +156,8 @@
                 .with("lookups", settings.lookupEndpoint())
                 .with("reports", settings.reportEndpoint())
                 .with("store", settings.storeEndpoint())
+                .with("heap-mb", Runtime.getRuntime().maxMemory() >> 20)
+                .with("budget-mb", edge.memory.limit() >> 20)
                 .info();
         return edge;
     }
@@ -188,6 +177,7 @@
                 "lycheetray_suspect_requests", () -> steering.suspects().suspectCount());
         metrics.registerGauge(
                 "lycheetray_quarantined_requests", () -> steering.suspects().quarantinedCount());
+        metrics.registerGauge("lycheetray_request_memory_bytes", memory::held);
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
         registerFleetGauges();
         follower.onRestore(registration::onStoreRestored);
@@ -217,11 +207,12 @@
                         () -> runLoggingErrors(task), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    private static void runLoggingErrors(Runnable task) {
+    private void runLoggingErrors(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LogEvent.of("task-failed").with("cause", e).error();
+        } catch (RuntimeException | Error e) {
+            // A periodic task that throws is not run again.
+            metrics.recordError("periodic task", e);
         }
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
@@ -70,4 +70,9 @@
     public void surplusReceived(RegisteredServer server, String requestId) {
         metrics.recordSurplus(server, requestId);
     }
+
+    @Override
+    public void connectionFailed(RegisteredServer server, Throwable error) {
+        metrics.recordError("server " + server.name(), error);
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/EmbeddedAnswerFinder.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/EmbeddedAnswerFinder.java
@@ -1,10 +1,11 @@
 package org.lycheetray.edge.backend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -20,6 +21,7 @@
  */
 record EmbeddedAnswerFinder(BackendDialect dialect) {
     private static final byte[] VERSION_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    private static final ByteBuf VERSION = Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer(VERSION_START));
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}[^\\r\\n]*\\r\\n");
     private static final Pattern LINE_END = Pattern.compile("\\r\\n");
     private static final String HEAD_END = "\r\n\r\n";
@@ -36,11 +38,12 @@
      * @return true if such an answer begins in the body, even if it ends in the surplus
      */
     boolean containsAnswer(byte[] body, ByteBuf surplus, List<String> requestIds) {
-        byte[] bytes = Arrays.copyOf(body, body.length + Math.min(surplus.readableBytes(), MAX_HEAD_BYTES));
-        surplus.getBytes(surplus.readerIndex(), bytes, body.length, bytes.length - body.length);
+        int surplusBytes = Math.min(surplus.readableBytes(), MAX_HEAD_BYTES);
+        ByteBuf bytes = Unpooled.wrappedBuffer(
+                Unpooled.wrappedBuffer(body), surplus.slice(surplus.readerIndex(), surplusBytes));
         int i = 0;
         while (i < body.length) {
-            String head = bytes[i] == VERSION_START[0] && startsWithVersion(bytes, i) ? headAt(bytes, i) : "";
+            String head = body[i] == VERSION_START[0] && startsWithVersion(bytes, i) ? headAt(bytes, i) : "";
             if (identifier(head).filter(requestIds::contains).isPresent()) {
                 return true;
             }
@@ -50,15 +53,15 @@
         return false;
     }
 
-    private static boolean startsWithVersion(byte[] bytes, int from) {
-        int to = from + VERSION_START.length;
-        return to <= bytes.length && Arrays.equals(bytes, from, to, VERSION_START, 0, VERSION_START.length);
+    private static boolean startsWithVersion(ByteBuf bytes, int from) {
+        return bytes.readableBytes() - from >= VERSION_START.length
+                && ByteBufUtil.equals(bytes, from, VERSION, 0, VERSION_START.length);
     }
 
     /** Returns the head that begins at an index, or the received part of it; empty if there is no status line. */
-    private static String headAt(byte[] bytes, int from) {
-        int length = Math.min(bytes.length - from, MAX_HEAD_BYTES);
-        String text = new String(bytes, from, length, StandardCharsets.ISO_8859_1);
+    private static String headAt(ByteBuf bytes, int from) {
+        int length = Math.min(bytes.readableBytes() - from, MAX_HEAD_BYTES);
+        String text = bytes.toString(from, length, StandardCharsets.ISO_8859_1);
         if (!STATUS_LINE.matcher(text).lookingAt()) {
             return "";
         }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -48,4 +48,12 @@
      * @param requestId identifier of the request that was answered, empty if there was none
      */
     void surplusReceived(RegisteredServer server, String requestId);
+
+    /**
+     * A connection is closed because of an unexpected error.
+     *
+     * @param server the server
+     * @param error the error
+     */
+    void connectionFailed(RegisteredServer server, Throwable error);
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -18,7 +18,7 @@
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.request.Body;
-import org.lycheetray.edge.BodyBudget;
+import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.TestDialect;
 
 /** A connection to a backend server whose bytes are written by the test, without a network. */
@@ -55,6 +55,9 @@
         public void surplusReceived(RegisteredServer server, String requestId) {
             requestIds.add(requestId);
         }
+
+        @Override
+        public void connectionFailed(RegisteredServer server, Throwable error) {}
     }
 
     private final List<String> surplus = new ArrayList<>();
@@ -69,11 +72,11 @@
                 decoder,
                 new TestDialect(),
                 Clock.system(),
-                new BodyBudget(1 << 20),
+                new MemoryBudget(1 << 20, Runnable::run),
                 () -> {},
                 SERVER,
                 new SurplusRecorder(surplus));
-        channel.pipeline().addLast(decoder, connection);
+        channel.pipeline().addLast(connection.byteCounter(), decoder, connection);
     }
 
     /** Sends a request. */
@@ -98,6 +101,10 @@
         channel.finish();
     }
 
+    boolean isOpen() {
+        return channel.isOpen();
+    }
+
     boolean isReusable() {
         return connection.isReusable();
     }
