Try servers at an interval after a pause, and count tried ones for the time to return

What callers would see: after a pause a server received nothing while older requests were running there, possibly far longer than it had asked for; and a caller was told to return at the end of a pause although another server, which had refused one attempt, had none. Change: after a pause a server receives a request each 0.5 s until it has answered one, whatever the status; the time to return counts the servers that were tried.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -315,7 +315,7 @@
     /** Returns the end of the first pause if all servers have requested a pause. */
     private Optional<MonotonicTime> endOfPauses(PlacementRequest request, MonotonicTime now) {
         List<Optional<MonotonicTime>> ends = byService.getOrDefault(request.service(), List.of()).stream()
-                .filter(s -> isEligible(s, request))
+                .filter(s -> isUsable(s, request))
                 .map(s -> availability.pausedUntil(s.server(), now))
                 .toList();
         return ends.stream().allMatch(Optional::isPresent)
@@ -375,12 +375,15 @@
     }
 
     private boolean isOpen(ServerState s, MonotonicTime now) {
-        return !s.isPaused(now) && availability.accepts(s.server(), s.inFlight(), now);
+        return !s.isPaused(now) && availability.accepts(s.server(), now);
     }
 
     private boolean isEligible(ServerState s, PlacementRequest request) {
-        return !request.tried().contains(s.server().name())
-                && !s.server().draining()
+        return !request.tried().contains(s.server().name()) && isUsable(s, request);
+    }
+
+    private boolean isUsable(ServerState s, PlacementRequest request) {
+        return !s.server().draining()
                 && !availability.isLeaving(s.server())
                 && !evacuated.contains(s.server().dataCentre())
                 && (request.regions().isEmpty() || request.regions().contains(s.region()));
@@ -500,6 +503,7 @@
         s.recordStart();
         shiftLimiter.recordSent(s.region(), now);
         serverRates.recordSent(s, now);
+        availability.recordSent(s.server(), now);
         double expected = times(request.route()).expectedNanos(send.affinity());
         meanWork.merge(request.service(), expected, (a, b) -> a + MEAN_WORK_SMOOTHING * (b - a));
         if (request.object().isPresent()) {
@@ -535,7 +539,7 @@
             shiftLimiter.suspend(now);
             suspectRestart(send.name(), now);
         }
-        if (outcome instanceof AttemptOutcome.Answered) {
+        if (outcome instanceof AttemptOutcome.Answered || outcome instanceof AttemptOutcome.ServerError) {
             availability.recordAnswered(s.server(), now);
         }
         if (outcome instanceof AttemptOutcome.Answered a && unloaded) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/ServerAvailability.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/ServerAvailability.java
@@ -14,8 +14,8 @@
  * The backend servers that have said in an answer that they accept no requests, for good or for some time.
  *
  * <p>A statement holds for the incarnation of the server that made it, whatever its registry entry says: the entry follows
- * later, may come from an older copy of the store, or may disappear and reappear. After a pause a server receives one
- * request at a time until it has answered one. Not thread-safe.
+ * later, may come from an older copy of the store, or may disappear and reappear. After a pause a server receives requests
+ * at an interval until it has answered one. Not thread-safe.
  */
 public final class ServerAvailability {
     /** Longest pause that a server may request; it is asked again after that time. */
@@ -27,6 +27,9 @@
     /** Upper bound of the extension of a pause. */
     private static final Duration MAX_SPREAD = Duration.ofSeconds(1);
 
+    /** Interval of the requests that a server receives after a pause until it has answered one. */
+    private static final Duration TRIAL_INTERVAL = Duration.ofMillis(500);
+
     /** Maximum number of servers; the one with the earliest statement is forgotten first. */
     private static final int MAX_SERVERS = 10_000;
 
@@ -46,6 +49,7 @@
         private boolean leaving;
         private Optional<MonotonicTime> pausedUntil = Optional.empty();
         private boolean onTrial;
+        private Optional<MonotonicTime> lastTrial = Optional.empty();
 
         Statements(long incarnation) {
             this.incarnation = incarnation;
@@ -54,6 +58,13 @@
         boolean isPaused(MonotonicTime now) {
             return pausedUntil.filter(now::isBefore).isPresent();
         }
+
+        boolean awaitsTrial(MonotonicTime now) {
+            return onTrial
+                    && lastTrial
+                            .filter(t -> now.since(t).compareTo(TRIAL_INTERVAL) < 0)
+                            .isPresent();
+        }
     }
 
     /**
@@ -98,6 +109,7 @@
         MonotonicTime until = now.plus(d).plus(scaled(spread, random.nextDouble()));
         e.pausedUntil = Optional.of(e.pausedUntil.filter(t -> until.isBefore(t)).orElse(until));
         e.onTrial = true;
+        e.lastTrial = Optional.empty();
     }
 
     private static Duration shorter(Duration a, Duration b) {
@@ -137,16 +149,25 @@
      * Returns whether a server may receive a request.
      *
      * @param server the server
-     * @param inFlight number of requests from this VM that the server has not answered
      * @param now current time
-     * @return false while it leaves or is paused, and after a pause while it has not answered a request
+     * @return false while it leaves or is paused, and after a pause shortly after a request that it has not answered
      */
-    public boolean accepts(RegisteredServer server, int inFlight, MonotonicTime now) {
+    public boolean accepts(RegisteredServer server, MonotonicTime now) {
         return entry(server)
-                .filter(e -> e.leaving || e.isPaused(now) || (e.onTrial && inFlight > 0))
+                .filter(e -> e.leaving || e.isPaused(now) || e.awaitsTrial(now))
                 .isEmpty();
     }
 
+    /**
+     * Records that a request was sent to a server.
+     *
+     * @param server the server
+     * @param now current time
+     */
+    public void recordSent(RegisteredServer server, MonotonicTime now) {
+        entry(server).filter(e -> e.onTrial).ifPresent(e -> e.lastTrial = Optional.of(now));
+    }
+
     /**
      * Records that a server has answered a request, which ends the restriction after a pause.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -178,15 +178,6 @@
         return now.isBefore(pausedUntil);
     }
 
-    /**
-     * Returns the number of requests from this VM that the server has not answered.
-     *
-     * @return number of requests in flight
-     */
-    public int inFlight() {
-        return inFlight;
-    }
-
     /**
      * Returns the estimated number of requests at the server.
      *
