--- a/lycheetray-core/src/main/java/org/lycheetray/core/allowance/FleetRetryBudget.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/allowance/FleetRetryBudget.java
@@ -74,6 +74,7 @@
         double part = fleet.spendablePart();
         if (part != parts.getLast().part()) {
             parts.addLast(new PartChange(now, part));
+            removeOldParts(now);
         }
     }
 
@@ -119,12 +120,17 @@
 
     /** Returns the smallest part within the window. */
     private double usablePart(MonotonicTime now) {
+        removeOldParts(now);
+        return parts.stream().mapToDouble(PartChange::part).min().orElse(0);
+    }
+
+    /** Removes the parts that ended before the window. */
+    private void removeOldParts(MonotonicTime now) {
         PartChange first = parts.removeFirst();
         while (!parts.isEmpty() && now.since(parts.getFirst().at()).compareTo(limits.window()) > 0) {
             first = parts.removeFirst();
         }
         parts.addFirst(first);
-        return parts.stream().mapToDouble(PartChange::part).min().orElse(0);
     }
 
     private Window window(ServiceName service, MonotonicTime now) {
--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -218,7 +218,7 @@
                 + others.values().stream()
                         .filter(k -> k.hasReported && now.since(k.lastReportAt).compareTo(TOUCH_TIMEOUT) <= 0)
                         .count();
-        boolean inTouch = 2 * reporting > vms;
+        boolean inTouch = 2 * reporting >= vms;
         confirmed |= allRead && reporting == vms;
         FleetKnowledge next;
         if (!recordsRead) {
