Callers: idle connections are closed without a reset, unread last replies end

A connection without requests in progress was closed both ways, also while the caller was sending: the kernel then resets it, and the caller loses the end of the reply before. A last reply whose caller reads nothing was kept for ever, with its memory. Change: an idle connection shuts its output and reads on for the linger time; a planned stop waits for such connections within its limit for deliveries; the idle timeout also ends a connection whose last reply makes no progress. The latter has no test of its own.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -69,6 +69,7 @@
     private boolean continueExpected;
     private boolean lastRequestRead;
     private boolean closing;
+    private boolean lingering;
     private ReplyObserver.Cause closeCause = ReplyObserver.Cause.CALLER_GONE;
 
     /** A request whose reply has not been sent. */
@@ -296,6 +297,7 @@
      */
     private void closeAfterLastReply() {
         if (channel.isActive() && channel instanceof DuplexChannel duplex) {
+            lingering = true;
             var _ = duplex.shutdownOutput();
             channel.config().setAutoRead(true);
             ScheduledFuture<?> linger =
@@ -360,22 +362,25 @@
      */
     void closeIfTimedOut(MonotonicTime now) {
         recordWriteProgress(now);
+        var limits = context.limits().get();
+        boolean idle = now.since(lastUsedAt).compareTo(limits.idleTimeout()) > 0;
+        if (closing && idle && repliesBeingWritten > 0) {
+            closeChannel();
+        }
         if (!pipelinedRequests.isEmpty() || closing) {
             return;
         }
-        var limits = context.limits().get();
         boolean slowHead = headStartedAt
                 .filter(t -> now.since(t).compareTo(limits.headerTimeout()) > 0)
                 .isPresent();
         boolean slowBody = uploadDeadline.filter(t -> t.isBefore(now)).isPresent();
-        boolean idle = now.since(lastUsedAt).compareTo(limits.idleTimeout()) > 0;
         if (head != null) {
             if (idle || slowBody) {
                 rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         } else if (slowHead || idle) {
             closing = true;
-            var _ = channel.close();
+            closeAfterLastReply();
         }
     }
 
@@ -392,15 +397,21 @@
 
     /** Closes the connection unless a request is in progress or being received, or a reply is being written. */
     void closeIfIdle() {
-        if (pipelinedRequests.isEmpty() && head == null && headStartedAt.isEmpty() && repliesBeingWritten == 0) {
+        if (!closing
+                && pipelinedRequests.isEmpty()
+                && head == null
+                && headStartedAt.isEmpty()
+                && repliesBeingWritten == 0) {
             closing = true;
-            var _ = channel.close();
+            closeAfterLastReply();
         }
     }
 
-    /** Returns whether a reply waits for an earlier one, or has not been written completely. */
+    /** Returns whether a reply waits for an earlier one, has not been written completely, or could be lost by a reset. */
     boolean hasUndeliveredReply() {
-        return repliesBeingWritten > 0 || pipelinedRequests.stream().anyMatch(s -> s.reply != null);
+        return repliesBeingWritten > 0
+                || lingering
+                || pipelinedRequests.stream().anyMatch(s -> s.reply != null);
     }
 
     /** Returns whether the head of a request has arrived and its body has not arrived completely. */
@@ -425,6 +436,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing = true;
+        lingering = false;
         cancelExchanges(closeCause);
         ctx.fireChannelInactive();
     }
