--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
@@ -319,10 +320,10 @@
 
     /** Returns whether the body holds the start of a second answer, so that it is not the body that the server made. */
     private boolean isSpliced(Body whole) {
-        return embeddedAnswers.containsAnswer(
-                whole.bytes(),
-                decoder.undecodedBytes(),
-                List.of(attempt.request().id(), previousRequestId));
+        List<String> ids = Stream.of(attempt.request().id(), previousRequestId)
+                .filter(id -> !id.isEmpty())
+                .toList();
+        return embeddedAnswers.containsAnswer(whole.bytes(), decoder.undecodedBytes(), ids);
     }
 
     /** Ends the use of the connection because of bytes that arrived after a whole answer. */
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -4,6 +4,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.flow.FlowControlHandler;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -76,7 +77,7 @@
                 () -> {},
                 SERVER,
                 new SurplusRecorder(surplus));
-        channel.pipeline().addLast(connection.byteCounter(), decoder, connection);
+        channel.pipeline().addLast(connection.byteCounter(), decoder, new FlowControlHandler(), connection);
     }
 
     /** Sends a request. */
