--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -366,7 +366,9 @@
         PlacementDecision.Send send = r.decision();
         appendToAttemptLog(send.name() + " " + took.toMillis() + "ms " + AttemptResultUtil.describe(result));
         if (result instanceof AttemptResult.Answer a) {
-            exchanges.answerTimes().record(placement.route(), took);
+            if (a.status() < 500) {
+                exchanges.answerTimes().record(placement.route(), took);
+            }
             context.servers()
                     .reportedLoad(a.headers())
                     .ifPresent(l -> context.steering().placement().recordReportedLoad(send.name(), l, now));
