Test ports that no outgoing connection can take

Two runs of edge tests ended once each with BindException: the fixture released the port that it had found, and the kernel could give it to an outgoing connection before the edge bound it. Ports now come from below the range of outgoing connections.

--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
@@ -62,6 +64,13 @@
 
     private static final int DEFAULT_MEMORY_MB = 430;
 
+    private static final int FIRST_PORT = 10_000;
+    private static final int PORTS = 20_000;
+
+    /** Test runs on one machine start at different ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
+
     private final InMemoryFleetStore store = new InMemoryFleetStore();
     private final EdgeSettings settings;
     private final Clock clock;
@@ -110,9 +119,15 @@
         }
     }
 
+    /** Returns an endpoint with a port below those that the kernel gives to outgoing connections. */
     private static Endpoint freeEndpoint() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Endpoint("127.0.0.1", s.getLocalPort());
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return new Endpoint("127.0.0.1", s.getLocalPort());
+            } catch (BindException e) {
+                // Another process uses this port.
+            }
         }
     }
 
