--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -460,7 +460,7 @@
         connectionReset |= cause instanceof IOException;
         if (cause instanceof DecoderException && (attempt == null || complete)) {
             reportSurplus();
-        } else if (!(cause instanceof IOException)) {
+        } else if (!(cause instanceof IOException || cause instanceof DecoderException)) {
             events.connectionFailed(server, cause);
         }
         endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), connectionReset));
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/BodyWriterTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/BodyWriterTest.java
@@ -62,5 +62,6 @@
         channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
         channel.runPendingTasks();
         assertThat(channel.outboundMessages()).hasSizeGreaterThan(LARGE_BYTES / (64 << 10));
+        channel.releaseOutbound();
     }
 }
