Reading the change once more: one copy of what it wrote twice

No change of behaviour. Scaling a duration and taking the shorter of two stood in Placement, ServerAvailability, StopSchedule and RequestTimeout: DurationUtil serves all four. The caller's timeout was read twice for each request, and the deadline of an upload was computed for each request and kept as state: it is now computed when an unfinished upload is looked at. BodyWriter closes a connection whose reply cannot be written, so CallerConnection need not.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -213,7 +213,7 @@
      * @return the knowledge, as of now
      */
     public FleetKnowledge knowledge(MonotonicTime now) {
-        int vms = others.size() + lost.size() + 1;
+        int vms = sharerCount() + 1;
         long reporting = 1
                 + others.values().stream()
                         .filter(k -> k.hasReported && now.since(k.lastReportAt).compareTo(TOUCH_TIMEOUT) <= 0)
@@ -248,6 +248,15 @@
         return sharers;
     }
 
+    /**
+     * Returns the number of other VMs that share the limits of the fleet.
+     *
+     * @return size of {@link #sharers}
+     */
+    public int sharerCount() {
+        return others.size() + lost.size();
+    }
+
     /**
      * Returns all known other VMs.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -25,6 +25,7 @@
 import org.lycheetray.core.placement.internal.ServerRates;
 import org.lycheetray.core.placement.internal.ServerState;
 import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.DurationUtil;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.core.traffic.TrafficConfig;
 import org.lycheetray.core.traffic.TrafficRoute;
@@ -280,7 +281,7 @@
     private PlacementDecision hold(PlacementRequest request, Candidate best, MonotonicTime now) {
         MonotonicTime latestStart = request.targetTime().plus(Duration.ofNanos((long) -best.workNanos()));
         MonotonicTime minHoldUntil =
-                request.received().plus(scaled(request.route().targetLatency(), HOLD_SHARE));
+                request.received().plus(DurationUtil.scaled(request.route().targetLatency(), HOLD_SHARE));
         MonotonicTime until = latestStart.isBefore(minHoldUntil) ? minHoldUntil : latestStart;
         until = request.deadline().isBefore(until) ? request.deadline() : until;
         Duration wait = Duration.ofNanos((long) best.queueNanos());
@@ -298,7 +299,8 @@
         if (!any) {
             return refuse("no-server", NO_SERVER_RETRY_AFTER);
         }
-        MonotonicTime until = request.received().plus(scaled(request.route().targetLatency(), HOLD_SHARE));
+        MonotonicTime until =
+                request.received().plus(DurationUtil.scaled(request.route().targetLatency(), HOLD_SHARE));
         Optional<MonotonicTime> pauseEnd = endOfPauses(request, now);
         if (pauseEnd.filter(until::isBefore).isPresent()) {
             return refuse("server-pause", pauseEnd.get().since(now));
@@ -484,10 +486,6 @@
         return processingTimes.computeIfAbsent(route.name(), n -> new ProcessingTimes(route));
     }
 
-    private static Duration scaled(Duration d, double factor) {
-        return Duration.ofNanos((long) (d.toNanos() * factor));
-    }
-
     /**
      * Records that a request was sent.
      *
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/ServerAvailability.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/ServerAvailability.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.DurationUtil;
 import org.lycheetray.core.time.MonotonicTime;
 
 /**
@@ -104,22 +105,14 @@
     }
 
     private void pause(Statements e, Duration requested, MonotonicTime now) {
-        Duration d = shorter(requested, MAX_PAUSE);
-        Duration spread = shorter(scaled(d, SPREAD), MAX_SPREAD);
-        MonotonicTime until = now.plus(d).plus(scaled(spread, random.nextDouble()));
+        Duration d = DurationUtil.shorter(requested, MAX_PAUSE);
+        Duration spread = DurationUtil.shorter(DurationUtil.scaled(d, SPREAD), MAX_SPREAD);
+        MonotonicTime until = now.plus(d).plus(DurationUtil.scaled(spread, random.nextDouble()));
         e.pausedUntil = Optional.of(e.pausedUntil.filter(t -> until.isBefore(t)).orElse(until));
         e.onTrial = true;
         e.lastTrial = Optional.empty();
     }
 
-    private static Duration shorter(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? a : b;
-    }
-
-    private static Duration scaled(Duration d, double factor) {
-        return Duration.ofNanos((long) (d.toNanos() * factor));
-    }
-
     private Optional<Statements> entry(RegisteredServer server) {
         return Optional.ofNullable(entries.get(server.name())).filter(e -> e.incarnation == server.incarnation());
     }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/stop/StopSchedule.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/stop/StopSchedule.java
@@ -1,6 +1,7 @@
 package org.lycheetray.core.stop;
 
 import java.time.Duration;
+import org.lycheetray.core.time.DurationUtil;
 import org.lycheetray.core.time.MonotonicTime;
 
 /**
@@ -40,7 +41,7 @@
      * @return a time before the end of the grace period, so that the replies can be delivered
      */
     public MonotonicTime requestLimit() {
-        return start.plus(fraction(REQUEST_FRACTION));
+        return start.plus(DurationUtil.scaled(gracePeriod, REQUEST_FRACTION));
     }
 
     /**
@@ -49,7 +50,7 @@
      * @return a time before the end of the grace period
      */
     public MonotonicTime deliveryLimit() {
-        return start.plus(fraction(DELIVERY_FRACTION));
+        return start.plus(DurationUtil.scaled(gracePeriod, DELIVERY_FRACTION));
     }
 
     /**
@@ -74,8 +75,4 @@
         MonotonicTime limit = requestLimit();
         return now.isBefore(limit) && (!limit.isBefore(now.plus(answerTime)) || !limit.isBefore(deadline));
     }
-
-    private Duration fraction(double fraction) {
-        return Duration.ofNanos((long) (gracePeriod.toNanos() * fraction));
-    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -315,9 +315,10 @@
 
     /**
      * Stops as planned: withdraws this VM from look-ups, keeps serving callers whose look-up answers have not expired,
-     * completes the requests in progress, then closes. Starts no work that the servers are not likely to finish within the
-     * grace period: such a request is refused as not run, so that its caller can use another VM. Shortly before the end of the grace period the requests still in
-     * progress get a reply, so that the answers that wait behind them on a connection are delivered too.
+     * completes the requests in progress, then closes. Starts no work that the servers are not likely to finish within
+     * the grace period: such a request is refused as not run, so that its caller can use another VM. Shortly before the end
+     * of the grace period the requests still in progress get a reply, so that the answers that wait behind them on a
+     * connection are delivered too.
      */
     @Override
     public void close() {
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -209,11 +209,6 @@
         unusable |= mismatched;
         head = r;
         dropBody();
-        if (!mismatched) {
-            skippedBytes = 0;
-            answerBytes = 0;
-            reserveLength(r);
-        }
         if (mismatched) {
             events.answerIgnored(
                     server,
@@ -221,6 +216,9 @@
                     dialect.answeredRequestId(r.headers()),
                     r.status().code());
         } else {
+            skippedBytes = 0;
+            answerBytes = 0;
+            reserveLength(r);
             reportRateStatement(r);
         }
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/EmbeddedAnswerFinder.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/EmbeddedAnswerFinder.java
@@ -22,7 +22,6 @@
 record EmbeddedAnswerFinder(BackendDialect dialect) {
     private static final byte[] VERSION_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private static final ByteBuf VERSION = Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer(VERSION_START));
-    private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.[01] \\d{3}");
     private static final int STATUS_LINE_START_BYTES = 12;
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}[^\\r\\n]*\\r\\n");
     private static final Pattern LINE_END = Pattern.compile("\\r\\n");
@@ -64,7 +63,7 @@
     private static String headAt(ByteBuf bytes, int from) {
         int length = Math.min(bytes.readableBytes() - from, MAX_HEAD_BYTES);
         String start = bytes.toString(from, Math.min(length, STATUS_LINE_START_BYTES), StandardCharsets.ISO_8859_1);
-        if (!STATUS_LINE_START.matcher(start).lookingAt()) {
+        if (!ResponseDecoder.STATUS_LINE_START.matcher(start).lookingAt()) {
             return "";
         }
         String text = bytes.toString(from, length, StandardCharsets.ISO_8859_1);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ResponseDecoder.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ResponseDecoder.java
@@ -32,7 +32,8 @@
     /** Status codes except 101, since no request asks for another protocol. */
     private static final Pattern STATUS_CODE = Pattern.compile("(?!101)[1-5]\\d\\d");
 
-    private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+    /** Start of a status line. */
+    static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
     private Optional<HttpMethod> requestMethod = Optional.empty();
     private boolean atStart = true;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -211,7 +211,7 @@
 
     private void preparePlacement(TrafficRoute r) {
         Duration callerTimeout = RequestTimeout.ofCaller(context, request.headers(), r);
-        deadline = request.received().plus(RequestTimeout.ofRequest(context, request.headers(), r));
+        deadline = request.received().plus(RequestTimeout.ofRequest(callerTimeout, r));
         MonotonicTime lastUsefulReply = request.received().plus(callerTimeout).plus(REPLY_DELIVERY_TIME.negated());
         ServiceName s = context.steering().selectService(r);
         service = Optional.of(s);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -111,7 +111,7 @@
         return context.steering()
                 .config()
                 .flatMap(c -> c.route(headers.get(HttpHeaderNames.HOST, ""), IncomingRequest.path(uri)))
-                .map(r -> RequestTimeout.ofRequest(context, headers, r));
+                .map(r -> RequestTimeout.ofRequest(RequestTimeout.ofCaller(context, headers, r), r));
     }
 
     /**
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/RequestTimeout.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/RequestTimeout.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import org.lycheetray.core.time.DurationUtil;
 import org.lycheetray.core.traffic.TrafficRoute;
 
 /** Timeouts of requests, as stated by their callers and routes. */
@@ -15,13 +16,12 @@
     static Duration ofCaller(ExchangeContext context, HttpHeaders headers, TrafficRoute r) {
         return context.callers()
                 .timeout(headers)
-                .map(d -> d.compareTo(MAX_CALLER_TIMEOUT) < 0 ? d : MAX_CALLER_TIMEOUT)
+                .map(d -> DurationUtil.shorter(d, MAX_CALLER_TIMEOUT))
                 .orElse(r.timeout());
     }
 
-    /** Returns the time from the head of a request to its deadline. */
-    static Duration ofRequest(ExchangeContext context, HttpHeaders headers, TrafficRoute r) {
-        Duration callerTimeout = ofCaller(context, headers, r);
-        return callerTimeout.compareTo(r.timeout()) < 0 ? callerTimeout : r.timeout();
+    /** Returns the time from the head of a request to its deadline, given the time for which its caller waits. */
+    static Duration ofRequest(Duration callerTimeout, TrafficRoute r) {
+        return DurationUtil.shorter(callerTimeout, r.timeout());
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/FleetRegistration.java
@@ -157,7 +157,7 @@
     public void removeExpired() {
         MonotonicTime now = clock.monotonic();
         int sizeBefore = view.size();
-        int sharersBefore = view.sharers().size();
+        int sharersBefore = view.sharerCount();
         view.removeExpired(now);
         view.removeForgotten(now).forEach(this::removeRecord);
         if (!leaving
@@ -166,7 +166,7 @@
                         .isPresent()) {
             localVm.ifPresent(this::register);
         }
-        if (view.size() != sizeBefore || view.sharers().size() != sharersBefore) {
+        if (view.size() != sizeBefore || view.sharerCount() != sharersBefore) {
             reportChannel.ifPresent(ReportChannel::updateMembers);
         }
         reportChannel.ifPresent(ReportChannel::updateKnowledge);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/front/CallerConnection.java
@@ -59,7 +59,6 @@
     private MonotonicTime headReceivedAt;
     private BodyBuffer body;
     private MemoryBudget.RequestMemory memory;
-    private Optional<MonotonicTime> uploadDeadline = Optional.empty();
     private boolean discarding;
     private long discardedBytes;
     private MonotonicTime lastUsedAt;
@@ -156,7 +155,6 @@
             refuseForMemory();
             return;
         }
-        uploadDeadline = context.exchanges().timeout(r.uri(), r.headers()).map(headReceivedAt::plus);
         body = length > 0 ? BodyBuffer.ofReserved(memory, (int) length) : BodyBuffer.ofUnknownLength(memory);
         continueExpected = HttpUtil.is100ContinueExpected(r);
         sendContinueInTurn();
@@ -278,9 +276,8 @@
             lastUsedAt = context.clock().monotonic();
             if (!done.isSuccess()) {
                 context.observer().replyNotDelivered(pipelined.id(), reply.status(), closeCause);
-                // The next reply must not take the place of this one.
+                // BodyWriter closes the connection; until then the next reply must not take the place of this one.
                 closing = true;
-                var _ = channel.close();
             }
         });
         lastUsedAt = context.clock().monotonic();
@@ -373,8 +370,11 @@
         boolean slowHead = headStartedAt
                 .filter(t -> now.since(t).compareTo(limits.headerTimeout()) > 0)
                 .isPresent();
-        boolean slowBody = uploadDeadline.filter(t -> t.isBefore(now)).isPresent();
         if (head != null) {
+            boolean slowBody = context.exchanges()
+                    .timeout(head.uri(), head.headers())
+                    .filter(d -> headReceivedAt.plus(d).isBefore(now))
+                    .isPresent();
             if (idle || slowBody) {
                 rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
             }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -180,6 +180,13 @@
                 Set.of());
     }
 
+    /** Starts the edge with one server and waits until it reports readiness. */
+    void startWith(ScriptedBackendServer server) throws IOException, InterruptedException {
+        configure(1);
+        register("s-0", server, false);
+        awaitReady();
+    }
+
     void register(String name, ScriptedBackendServer server, boolean draining) {
         register(name, server, draining, SERVICE);
     }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EndlessAnswerTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EndlessAnswerTest.java
@@ -70,9 +70,7 @@
                 ScriptedBackendServer.write(out, piece);
             }
         });
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
 
         EdgeFixture.Reply reply = edge.request(EdgeFixture.post("/order/1", "q1", "x"));
 
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/LastReplyTest.java
@@ -33,9 +33,7 @@
                 out,
                 ScriptedBackendServer.signedAnswer(
                         r.header("X-Id"), r.header("X-Id").equals("large") ? LARGE_BODY : r.header("X-Id"))));
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
     }
 
     @AfterEach
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/PlannedStopTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/PlannedStopTest.java
@@ -32,9 +32,7 @@
                         out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), r.header("X-Id")));
             }
         });
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
     }
 
     @AfterEach
@@ -85,9 +83,7 @@
     void answerThatIsBeingDeliveredIsDeliveredWhole() throws Exception {
         edge.close();
         edge = new EdgeFixture(Duration.ofSeconds(60));
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
         CountDownLatch answered = new CountDownLatch(1);
         server.script((r, out, s) -> {
             boolean large = r.header("X-Id").equals("large");
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/ServerAvailabilityPathTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/ServerAvailabilityPathTest.java
@@ -33,9 +33,7 @@
                 out,
                 head + "\r\nX-Id: " + r.header("X-Id") + "\r\n" + header + "\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body));
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
     }
 
     private EdgeFixture.Reply post(String id) throws IOException {
@@ -71,9 +69,7 @@
                     out, "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: old\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
             ScriptedBackendServer.write(out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), "whole"));
         });
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
 
         assertThat(post("q1").body()).isEqualTo("whole");
         assertThat(post("q2").status()).isEqualTo(503);
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/StalledUploadTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/StalledUploadTest.java
@@ -18,9 +18,7 @@
     void start() throws Exception {
         edge = new EdgeFixture();
         server = new ScriptedBackendServer(ScriptedBackendServer.signed("whole"));
-        edge.configure(1);
-        edge.register("s-0", server, false);
-        edge.awaitReady();
+        edge.startWith(server);
     }
 
     @AfterEach
