Test of a VM that has lost its paths to all servers, which fails

Two VMs of one fleet, five servers. All paths from one VM to the servers are cut, so that open connections carry nothing and new ones are not established, or both are reset, or only new ones are refused. The test expects that the cut VM answers through the other one, and that a request that must not be repeated arrives once.

--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -71,7 +71,7 @@
     private static final AtomicInteger NEXT_PORT =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
 
-    private final InMemoryFleetStore store = new InMemoryFleetStore();
+    private final InMemoryFleetStore store;
     private final EdgeSettings settings;
     private final Clock clock;
     private Edge edge;
@@ -96,9 +96,15 @@
     }
 
     private EdgeFixture(Duration grace, int memoryMegabytes, Clock clock) throws IOException {
+        this("vm", grace, memoryMegabytes, clock, new InMemoryFleetStore());
+    }
+
+    private EdgeFixture(String vm, Duration grace, int memoryMegabytes, Clock clock, InMemoryFleetStore store)
+            throws IOException {
         this.clock = clock;
+        this.store = store;
         settings = new EdgeSettings(
-                new VmName("vm"),
+                new VmName(vm),
                 DC,
                 Map.of(DC, new RegionName("region")),
                 freeEndpoint(),
@@ -111,6 +117,16 @@
                 EdgeSettingsFixture.fleetLimits(grace));
     }
 
+    /** Creates another VM of the same fleet, to which servers and configurations are made known separately. */
+    EdgeFixture newPeer(String vm) throws IOException {
+        return new EdgeFixture(
+                vm,
+                settings.fleetLimits().gracePeriod(),
+                DEFAULT_MEMORY_MB,
+                Clock.system(),
+                new InMemoryFleetStore(store));
+    }
+
     /** Starts the edge; records already in the store are read at once, so that tests need not wait for a poll. */
     void start() {
         if (edge == null) {
@@ -192,14 +208,19 @@
     }
 
     void register(String name, ScriptedBackendServer server, boolean draining, ServiceName service) {
+        register(name, server.port(), ++incarnation, draining, service);
+    }
+
+    /** Registers a server that the VM reaches at another port than its own. */
+    void register(String name, int port, long incarnation, boolean draining, ServiceName service) {
         store.write(
                 Topic.SERVERS,
                 new StoreRecord.Server(new RegisteredServer(
                         new BackendServerName(name),
-                        ++incarnation,
+                        incarnation,
                         1,
                         service,
-                        new Endpoint("127.0.0.1", server.port()),
+                        new Endpoint("127.0.0.1", port),
                         DC,
                         3,
                         draining,
@@ -221,6 +242,17 @@
         }
     }
 
+    /** Waits until look-ups return the given number of other VMs, from which reports have come. */
+    void awaitPeers(int count) throws IOException, InterruptedException {
+        long limit = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
+        while (lookup().body().split(",").length <= count) {
+            if (System.nanoTime() > limit) {
+                throw new IllegalStateException("fewer than " + count + " other VMs within " + TIMEOUT_MS + " ms");
+            }
+            Thread.sleep(10);
+        }
+    }
+
     void restoreStoreWithoutVmRecords() {
         store.restoreWithoutMembers();
     }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.model.VmName;
 import org.lycheetray.edge.store.FleetStore;
@@ -21,12 +22,22 @@
     private record Entry(long version, StoreRecord record) {}
 
     private final Map<Topic, List<Entry>> history = new EnumMap<>(Topic.class);
-    private final List<FleetMember> members = new ArrayList<>();
+    private final List<FleetMember> members;
     private final Sinks.Empty<Void> closed = Sinks.empty();
     private long version;
     private long era = 1;
 
     InMemoryFleetStore() {
+        this(new CopyOnWriteArrayList<>());
+    }
+
+    /** Creates a store that shares the records of VMs with another, but not those of servers and configurations. */
+    InMemoryFleetStore(InMemoryFleetStore fleet) {
+        this(fleet.members);
+    }
+
+    private InMemoryFleetStore(List<FleetMember> members) {
+        this.members = members;
         for (Topic t : Topic.values()) {
             history.put(t, new ArrayList<>());
         }
--- /dev/null
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/VmWithoutPathsToServersTest.java
@@ -0,0 +1,102 @@
+package org.lycheetray.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against refusals by a VM that has lost its paths to all servers while another VM reaches them. */
+class VmWithoutPathsToServersTest {
+    private static final int SERVERS = 5;
+    private static final int REQUESTS = 12;
+    private static final Duration WORK = Duration.ofMillis(20);
+
+    private final List<AutoCloseable> resources = new ArrayList<>();
+    private final List<ScriptedBackendServer> servers = new ArrayList<>();
+    private final List<CuttableLink> links = new ArrayList<>();
+    private EdgeFixture vm;
+    private EdgeFixture peer;
+
+    private void start() throws IOException, InterruptedException {
+        vm = add(new EdgeFixture());
+        peer = add(vm.newPeer("peer"));
+        vm.configure(1);
+        peer.configure(1);
+        for (int i = 0; i < SERVERS; i++) {
+            ScriptedBackendServer server = add(new ScriptedBackendServer(VmWithoutPathsToServersTest::answerLater));
+            CuttableLink link = add(new CuttableLink(server.port()));
+            servers.add(server);
+            links.add(link);
+            vm.register("s-" + i, link.port(), 1, false, EdgeFixture.SERVICE);
+            peer.register("s-" + i, server.port(), 1, false, EdgeFixture.SERVICE);
+        }
+        vm.awaitReady();
+        peer.awaitReady();
+        vm.awaitPeers(1);
+    }
+
+    private <T extends AutoCloseable> T add(T resource) {
+        resources.addFirst(resource);
+        return resource;
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable r : resources) {
+            r.close();
+        }
+    }
+
+    private static void answerLater(ScriptedBackendServer.Request r, OutputStream out, Socket s) throws IOException {
+        LockSupport.parkNanos(WORK.toNanos());
+        ScriptedBackendServer.write(out, ScriptedBackendServer.signedAnswer(r.header("X-Id"), "answer"));
+    }
+
+    private void cutAll(CuttableLink.Cut how) throws IOException {
+        for (CuttableLink l : links) {
+            l.cut(how);
+        }
+    }
+
+    private List<Integer> statuses(String path, String idPrefix) throws IOException {
+        List<Integer> statuses = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            statuses.add(
+                    vm.request(EdgeFixture.post(path + i, idPrefix + i, "body")).status());
+        }
+        return statuses;
+    }
+
+    private long arrivals(String id) {
+        return servers.stream()
+                .flatMap(s -> s.requests().stream())
+                .filter(r -> r.header("X-Id").equals(id))
+                .count();
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource
+    void requestsAreAnsweredThroughAnotherVm(CuttableLink.Cut how) throws Exception {
+        start();
+        vm.awaitStatus("/read/before", 200);
+
+        cutAll(how);
+        vm.awaitStatus("/read/cut", 200);
+
+        assertThat(statuses("/read/", "read-")).containsOnly(200);
+        assertThat(statuses("/order/", "order-")).containsOnly(200);
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(arrivals("order-" + i)).isEqualTo(1);
+        }
+    }
+}
