Requests for servers out of reach go through another VM

What callers saw: a VM that had lost its paths to the backend servers refused every request (503 after 70, 600 or 1,200 ms, 502 and 504 for those on open connections), while the other VMs answered from the same servers.

Cause: a VM had one way to a server, its own, and took its own failed attempts for the state of the server. Class of fault: a local observation used as a fact about the fleet.

Connections to servers of several data centres are opened to tell a cut from failed servers. A request to which nothing was sent because no connection could be established is sent by another VM, whatever its kind; one that may have arrived is not sent twice. The other VM sends it to the server that the first has chosen, by its own connections, or declines; it never passes it on. Rates, budgets and choice stay with the first VM. When the VM is cut off, failures of servers are forgotten, idempotent requests without an answer are repeated, and other VMs are told in the reports; VMs of earlier versions are not asked. The log line reach-changed gives the belief with its evidence, `via` in a request's attempts the VM that sent it, relayed-request the other side.

Ruled out: refusing sooner or leaving look-ups alone, since callers keep their look-ups for up to three times the TTL.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -68,6 +68,7 @@
         private boolean hasReported;
         private boolean serving;
         private boolean hasServed;
+        private Optional<Boolean> reachesServers = Optional.empty();
 
         KnownVm(FleetMember member, MonotonicTime now) {
             this.member = member;
@@ -83,6 +84,7 @@
     private boolean recordsRead;
     private boolean allRead;
     private boolean confirmed;
+    private boolean localReaches = true;
     private FleetKnowledge knowledge = FleetKnowledge.initial();
 
     /**
@@ -156,6 +158,54 @@
         return true;
     }
 
+    /**
+     * Records what a VM has reported of its paths to the backend servers.
+     *
+     * @param vm name of the VM
+     * @param reaches whether it reaches servers; empty for a VM that does not relay requests
+     */
+    public void recordReach(VmName vm, Optional<Boolean> reaches) {
+        KnownVm k = others.get(vm);
+        if (k != null) {
+            k.reachesServers = reaches;
+        }
+    }
+
+    /**
+     * Records whether the local VM reaches servers.
+     *
+     * @param reaches false while it is cut off from all of them
+     */
+    public void recordLocalReach(boolean reaches) {
+        localReaches = reaches;
+    }
+
+    /**
+     * Returns whether the local VM reaches servers.
+     *
+     * @return false while it is cut off from all of them
+     */
+    public boolean localReaches() {
+        return localReaches;
+    }
+
+    /**
+     * Returns the VMs that send requests of the local VM to servers in its place if asked.
+     *
+     * @param now current time
+     * @return serving VMs that have reported recently that they reach servers
+     */
+    public List<FleetMember> relays(MonotonicTime now) {
+        return others.values().stream()
+                .filter(k -> isServing(k, now) && k.reachesServers.orElse(false))
+                .map(k -> k.member)
+                .toList();
+    }
+
+    private static boolean isServing(KnownVm k, MonotonicTime now) {
+        return k.hasReported && k.serving && !isSilent(k, now);
+    }
+
     /**
      * Removes VMs that shut down as planned. VMs that have not reported within {@link #REMOVAL_TIMEOUT} become lost.
      *
@@ -368,9 +418,7 @@
             MonotonicTime now) {
         List<FleetMember> serving = new ArrayList<>();
         servingLocalVm.ifPresent(serving::add);
-        others.values().stream()
-                .filter(k -> k.hasReported && k.serving && !isSilent(k, now))
-                .forEach(k -> serving.add(k.member));
+        others.values().stream().filter(k -> isServing(k, now)).forEach(k -> serving.add(k.member));
         List<FleetMember> inCallerRegion = filter(serving, m -> callerRegion.equals(region(m)));
         if (!inCallerRegion.isEmpty()) {
             return inCallerRegion;
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/AttemptOutcome.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/AttemptOutcome.java
@@ -27,6 +27,9 @@
     /** No connection to the server could be established. */
     record Unreachable() implements AttemptOutcome {}
 
+    /** The path to the server failed, which says nothing about the server. */
+    record PathLost() implements AttemptOutcome {}
+
     /** The connection was lost before a complete response arrived; the request may have run. */
     record ConnectionLost() implements AttemptOutcome {}
 
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/Placement.java
@@ -184,6 +184,16 @@
         }
     }
 
+    /**
+     * Forgets the failures of all servers, which were due to the paths of this VM. What servers have said stays in force.
+     *
+     * @param now current time
+     */
+    public void clearFaults(MonotonicTime now) {
+        suspectedAt.clear();
+        servers.values().forEach(s -> s.clearFaults(now));
+    }
+
     private Duration coldStart(ServerState s) {
         return service(s).map(TrafficService::coldStart).orElse(Duration.ZERO);
     }
--- a/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/placement/internal/ServerState.java
@@ -150,6 +150,18 @@
         suspectedColdUntil = now;
     }
 
+    /**
+     * Forgets failures and suspicions that may be due to the path to the server.
+     *
+     * @param now current time
+     */
+    public void clearFaults(MonotonicTime now) {
+        clearSuspicion(now);
+        pausedUntil = now;
+        consecutiveFailures = 0;
+        failureShare = 0;
+    }
+
     /**
      * Returns the bucket of this VM's share of the rate that the server accepts while it is cold.
      *
@@ -260,6 +272,7 @@
             case AttemptOutcome.Shed s -> pause(SHED_PAUSE, now);
             case AttemptOutcome.Misdirected m -> pause(MAX_PAUSE, now);
             case AttemptOutcome.Unreachable u -> pauseWithBackoff(now);
+            case AttemptOutcome.PathLost p -> {}
             case AttemptOutcome.ConnectionLost b -> {
                 recordFailure(now);
                 pauseWithBackoff(now);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
@@ -173,4 +173,20 @@
                     .containsExactly(member("far-7", 1, DC_FAR));
         }
     }
+
+    private void addVm(String name, Optional<Boolean> reachesServers) {
+        view.applyReport(member(name, 1, DC_NEAR), 1, true, START);
+        view.recordReach(new VmName(name), reachesServers);
+    }
+
+    @Test
+    void requestsAreRelayedOnlyByVmsThatReachServersAndSaySo() {
+        addVm("a", Optional.of(true));
+        addVm("b", Optional.of(false));
+        addVm("earlier-version", Optional.empty());
+
+        assertThat(view.relays(START)).extracting(m -> m.vm().value()).containsExactly("a");
+        assertThat(view.relays(START.plus(FleetView.SILENCE_TIMEOUT.multipliedBy(2))))
+                .isEmpty();
+    }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -20,6 +20,8 @@
 import org.lycheetray.core.fleet.ReportSchedule;
 import org.lycheetray.core.model.Endpoint;
 import org.lycheetray.core.model.RegionName;
+import org.lycheetray.core.reach.RelaySelection;
+import org.lycheetray.core.reach.VmReach;
 import org.lycheetray.core.stop.StopSchedule;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
@@ -40,7 +42,10 @@
 import org.lycheetray.edge.front.AuxiliaryHttpServer;
 import org.lycheetray.edge.front.CallerConnectionContext;
 import org.lycheetray.edge.front.CallerListener;
-import org.lycheetray.edge.log.RequestLog;
+import org.lycheetray.edge.relay.ReachMonitor;
+import org.lycheetray.edge.relay.RelayContext;
+import org.lycheetray.edge.relay.RelayListener;
+import org.lycheetray.edge.relay.ServerAccess;
 import org.lycheetray.edge.settings.EdgeSettings;
 import org.lycheetray.edge.store.FleetStore;
 import org.lycheetray.edge.store.StoreFollower;
@@ -86,7 +91,9 @@
     private final StoreFollower follower;
     private final FleetRegistration registration;
     private final Exchanges exchanges;
-    private final BackendClient backends;
+    private final ServerAccess backends;
+    private final ReachMonitor reach;
+    private final RelayListener relayListener;
     private final CallerListener callerListener;
     private final EdgeMetrics metrics;
     private final ServerObserver serverObserver;
@@ -108,9 +115,18 @@
         fleetView = new FleetView(settings.vm(), settings.regions());
         store = closer.add("store", adapter.storeFactory().apply(transport, settings.storeEndpoint()));
         follower = new StoreFollower(store, steering, transport.eventLoop(), clock, random);
-        metrics = new EdgeMetrics(new RequestLog(clock));
-        serverObserver = new ServerObserver(steering, metrics, clock);
-        backends = new BackendClient(transport, adapter.backendDialect(), clock, memory, serverObserver);
+        metrics = new EdgeMetrics(clock);
+        reach = new ReachMonitor(steering, fleetView, clock, random);
+        serverObserver = new ServerObserver(steering, metrics, reach, clock);
+        BackendClient direct = new BackendClient(transport, adapter.backendDialect(), clock, memory, serverObserver);
+        backends = new ServerAccess(
+                direct,
+                transport,
+                memory,
+                reach,
+                new RelaySelection(settings.dataCentre(), settings.regions(), random),
+                new ServerAccess.Collaborators(
+                        this::localVm, fleetView, steering, adapter.backendDialect(), serverObserver, clock));
         exchanges = new Exchanges(new ExchangeContext(
                 steering,
                 backends,
@@ -120,6 +136,8 @@
                 clock,
                 transport.eventLoop()));
         registration = new FleetRegistration(transport, store, fleetView, steering, follower, this::isServing, clock);
+        relayListener =
+                closer.add("relays", new RelayListener(transport, settings.reportEndpoint(), relayContext(direct)));
         callerListener = closer.add(
                 "front", new CallerListener(transport, settings.callerEndpoint(), callerConnectionContext()));
         closer.add("readiness", new AuxiliaryHttpServer(transport, settings.readinessEndpoint(), this::readiness));
@@ -128,6 +146,24 @@
                 .ifPresent(a -> closer.add("metrics", new AuxiliaryHttpServer(transport, a, uri -> metricsPage())));
     }
 
+    private RelayContext relayContext(BackendClient direct) {
+        return new RelayContext(
+                this::localVm,
+                fleetView,
+                steering,
+                direct,
+                adapter.backendDialect(),
+                memory,
+                () -> isServing() && !exchanges.isRefusing(),
+                exchanges::checkCrashed,
+                metrics,
+                clock);
+    }
+
+    private Optional<FleetMember> localVm() {
+        return registration.localVm();
+    }
+
     private CallerConnectionContext callerConnectionContext() {
         return new CallerConnectionContext(
                 exchanges,
@@ -180,6 +216,8 @@
         metrics.registerGauge("lycheetray_request_memory_bytes", memory::held);
         metrics.registerGauge("lycheetray_vms", () -> fleetView.size() + 1);
         registerFleetGauges();
+        registerReachGauges();
+        reach.onCutOff(exchanges::repeatElsewhere);
         follower.onRestore(registration::onStoreRestored);
         follower.start(this::onRoutingStateChanged);
         registration.start(settings);
@@ -200,6 +238,19 @@
                 () -> clock.monotonic().since(steering.fleet().since()).toMillis() / MILLIS_PER_SECOND);
     }
 
+    private void registerReachGauges() {
+        for (String state : VmReach.NAMES) {
+            metrics.registerGauge(
+                    "lycheetray_reach_state|state=" + state,
+                    () -> reach.reach().state().stateName().equals(state) ? 1 : 0);
+        }
+        metrics.registerGauge(
+                "lycheetray_servers_out_of_reach", () -> reach.reach().outOfReachCount());
+        metrics.registerGauge(
+                "lycheetray_reach_age_seconds",
+                () -> clock.monotonic().since(reach.reach().state().since()).toMillis() / MILLIS_PER_SECOND);
+    }
+
     private void scheduleEvery(Duration period, Runnable task) {
         var _ = transport
                 .eventLoop()
@@ -219,10 +270,13 @@
     private void tick() {
         steering.removeExpiredServers();
         serverObserver.logEndedPauses();
+        backends.startChecks();
         exchanges.retryPending();
         MonotonicTime now = clock.monotonic();
-        if (reportSchedule.isDue(fleetView.size() + 1, steering.isReportDue(), now)) {
+        boolean urgent = steering.isReportDue() || reach.isReportDue();
+        if (reportSchedule.isDue(fleetView.size() + 1, urgent, now)) {
             reportSchedule.recordSent(now);
+            reach.recordReported();
             registration.sendReport();
         }
     }
@@ -361,9 +415,12 @@
                 .info();
     }
 
-    /** Returns the number of requests in progress, and of connections with a request or a reply under way. */
+    /** Returns the number of requests in progress, those of other VMs included, and of connections with a request or a reply under way. */
     private int unfinishedCount() {
-        return exchanges.inProgressCount() + callerListener.receivingCount() + callerListener.undeliveredCount();
+        return exchanges.inProgressCount()
+                + relayListener.inProgressCount()
+                + callerListener.receivingCount()
+                + callerListener.undeliveredCount();
     }
 
     /** Ends the requests that are still in progress; returns their number. */
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/EdgeMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -10,20 +11,27 @@
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.registry.RegisteredServer;
+import org.lycheetray.core.time.Clock;
 import org.lycheetray.daemon.log.LogEvent;
+import org.lycheetray.daemon.log.RateLimitedLog;
 import org.lycheetray.daemon.metrics.HdrReservoir;
 import org.lycheetray.daemon.metrics.PrometheusTextFormat;
 import org.lycheetray.edge.exchange.ExchangeObserver;
 import org.lycheetray.edge.front.ReplyObserver;
 import org.lycheetray.edge.log.RequestLog;
+import org.lycheetray.edge.relay.RelayContext;
 
 /** Records metrics and a log line for each finished request. Not thread-safe: use only on the event loop. */
-final class EdgeMetrics implements ExchangeObserver, ReplyObserver {
+final class EdgeMetrics implements ExchangeObserver, ReplyObserver, RelayContext.RelayObserver {
+    private static final Duration REJECTION_LOG_INTERVAL = Duration.ofMinutes(1);
+
     private final MetricRegistry registry = new MetricRegistry();
     private final RequestLog log;
+    private final RateLimitedLog rejectionLog;
 
-    EdgeMetrics(RequestLog log) {
-        this.log = log;
+    EdgeMetrics(Clock clock) {
+        this.log = new RequestLog(clock);
+        this.rejectionLog = new RateLimitedLog(clock, REJECTION_LOG_INTERVAL);
     }
 
     void registerGauge(String name, DoubleSupplier value) {
@@ -82,6 +90,28 @@
         LogEvent.of("task-failed").with("where", where).with("cause", error).error();
     }
 
+    @Override
+    public void relayed(String requestId, String vm, String server, String result, Duration took) {
+        registry.counter("lycheetray_relayed_requests_total").inc();
+        log.write(LogEvent.of("relayed-request")
+                .with("id", requestId)
+                .with("from", vm)
+                .with("server", server)
+                .with("result", result)
+                .with("ms", took.toMillis()));
+    }
+
+    @Override
+    public void rejected(String from, String reason) {
+        registry.counter("lycheetray_relay_messages_rejected_total").inc();
+        rejectionLog.logOncePerInterval(
+                from,
+                () -> LogEvent.of("relay-message-rejected")
+                        .with("from", from)
+                        .with("why", reason)
+                        .warn());
+    }
+
     /**
      * Records that a backend server has announced its leaving or requested a pause.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/ServerObserver.java
@@ -9,18 +9,33 @@
 import org.lycheetray.daemon.log.LogEvent;
 import org.lycheetray.edge.backend.ServerEvents;
 import org.lycheetray.edge.exchange.TrafficSteering;
+import org.lycheetray.edge.relay.ReachMonitor;
 
 /**
  * Passes what connections reveal about backend servers to the routing state, and to logs and metrics.
  *
  * @param steering the routing state
  * @param metrics logs and metrics
+ * @param reach which servers are in reach
  * @param clock source of the current time
  */
-record ServerObserver(TrafficSteering steering, EdgeMetrics metrics, Clock clock) implements ServerEvents {
+record ServerObserver(TrafficSteering steering, EdgeMetrics metrics, ReachMonitor reach, Clock clock)
+        implements ServerEvents {
+    @Override
+    public void connected(RegisteredServer server) {
+        reach.recordConnected(server);
+    }
+
+    @Override
+    public void notConnected(RegisteredServer server) {
+        reach.recordNotConnected(server);
+    }
+
     @Override
     public void idleConnectionLost(RegisteredServer server) {
-        steering.suspectRestart(server);
+        if (!reach.reach().isCutOff()) {
+            steering.suspectRestart(server);
+        }
     }
 
     @Override
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/AttemptResult.java
@@ -15,7 +15,33 @@
         /** The server reported that it did not run the request. */
         SHED,
         /** A different server answered at the address. */
-        MISDIRECTED
+        MISDIRECTED,
+        /** Neither the local VM nor another one could be found that reaches the server. */
+        NO_PATH,
+        /** The VM that was asked to send the request did not, for a reason of its own. */
+        DECLINED;
+
+        /**
+         * Returns whether the attempt counts as one that may have reached the server.
+         *
+         * @return false if nothing was sent to it
+         */
+        public boolean countsAsArrived() {
+            return switch (this) {
+                case UNREACHABLE, NO_PATH, DECLINED -> false;
+                case NO_CONNECTION, SHED, MISDIRECTED -> true;
+            };
+        }
+    }
+
+    /** What was lost when no answer arrived. */
+    enum Loss {
+        /** The answer was not valid or too large. */
+        ANSWER,
+        /** The connection to the server ended before a whole answer, as it does when the server crashes. */
+        CONNECTION,
+        /** The path to the server, which says nothing about the server. */
+        PATH
     }
 
     /**
@@ -40,7 +66,7 @@
      * The request may have run.
      *
      * @param cause description of the failure, for the log
-     * @param connectionLost true if the connection ended before a whole answer, as it does when the server crashes
+     * @param loss what was lost
      */
-    record Unknown(String cause, boolean connectionLost) implements AttemptResult {}
+    record Unknown(String cause, Loss loss) implements AttemptResult {}
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendClient.java
@@ -9,6 +9,7 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.stream.ChunkedWriteHandler;
 import java.net.ConnectException;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -84,21 +85,32 @@
     public Attempt send(
             RegisteredServer server, int maxConnections, OutgoingRequest request, Consumer<AttemptResult> callback) {
         Attempt attempt = new Attempt(request, callback);
+        send(server, maxConnections, attempt);
+        return attempt;
+    }
+
+    /**
+     * Begins an attempt at a server.
+     *
+     * @param server server to send to
+     * @param maxConnections limit of the local VM's connections to the server
+     * @param attempt the attempt, which has not begun
+     */
+    public void send(RegisteredServer server, int maxConnections, Attempt attempt) {
         Pool pool = poolFor(server);
         while (!pool.idle.isEmpty()) {
             BackendConnection c = pool.idle.removeLast();
             if (c.isReusable()) {
                 c.send(attempt);
-                return attempt;
+                return;
             }
             c.close();
         }
         if (pool.open >= maxConnections) {
             attempt.complete(new AttemptResult.NotRun(AttemptResult.NotRunReason.NO_CONNECTION));
-            return attempt;
+            return;
         }
         connect(pool, attempt);
-        return attempt;
     }
 
     private Pool poolFor(RegisteredServer server) {
@@ -166,9 +178,34 @@
             pool.open--;
             pool.idle.remove(holder.get());
         });
+        var _ = f.addListener(c -> {
+            if (c.isSuccess()) {
+                events.connected(pool.server);
+            } else if (!(c.cause() instanceof ClosedChannelException)) {
+                events.notConnected(pool.server);
+            }
+        });
         return new NewConnection(f, holder);
     }
 
+    /**
+     * Opens a connection to a server to find out whether it can be reached; it is kept for the next request. The result is
+     * reported as an event.
+     *
+     * @param server the server
+     * @param callback called with true if the connection was established
+     */
+    public void checkReach(RegisteredServer server, Consumer<Boolean> callback) {
+        Pool pool = poolFor(server);
+        NewConnection c = openConnection(pool);
+        var _ = c.connected().addListener(done -> {
+            if (done.isSuccess()) {
+                returnToPool(pool, c.connection().get());
+            }
+            callback.accept(done.isSuccess());
+        });
+    }
+
     /**
      * Tells a crash of a server from the loss of a connection to it, by opening another connection. If the server
      * accepts it, the connection is kept for the next request.
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/BackendConnection.java
@@ -342,10 +342,12 @@
             return new AttemptResult.NotRun(AttemptResult.NotRunReason.SHED);
         }
         if (h.contains(HttpHeaderNames.CONTENT_ENCODING)) {
-            return new AttemptResult.Unknown("response has a Content-Encoding that was not requested", false);
+            return new AttemptResult.Unknown(
+                    "response has a Content-Encoding that was not requested", AttemptResult.Loss.ANSWER);
         }
         if (whole.isEmpty()) {
-            return new AttemptResult.Unknown("response body exceeds the memory left for response bodies", false);
+            return new AttemptResult.Unknown(
+                    "response body exceeds the memory left for response bodies", AttemptResult.Loss.ANSWER);
         }
         memory.complete();
         return new AttemptResult.Answer(status, h, whole.get(), memory);
@@ -436,11 +438,11 @@
     }
 
     private void failAttempt(String cause) {
-        endAttempt(new AttemptResult.Unknown(cause, false));
+        endAttempt(new AttemptResult.Unknown(cause, AttemptResult.Loss.ANSWER));
     }
 
     private void loseConnection(String cause) {
-        endAttempt(new AttemptResult.Unknown(cause, true));
+        endAttempt(new AttemptResult.Unknown(cause, AttemptResult.Loss.CONNECTION));
     }
 
     private void endAttempt(AttemptResult.Unknown result) {
@@ -461,7 +463,8 @@
         } else if (!(cause instanceof IOException || cause instanceof DecoderException)) {
             events.connectionFailed(server, cause);
         }
-        endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), connectionReset));
+        AttemptResult.Loss loss = connectionReset ? AttemptResult.Loss.CONNECTION : AttemptResult.Loss.ANSWER;
+        endAttempt(new AttemptResult.Unknown(String.valueOf(cause.getMessage()), loss));
         var _ = ctx.close();
     }
 
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/backend/ServerEvents.java
@@ -7,6 +7,20 @@
 
 /** Receives what connections to backend servers reveal about the servers apart from the results of attempts. */
 public interface ServerEvents {
+    /**
+     * A connection was established.
+     *
+     * @param server the server
+     */
+    void connected(RegisteredServer server);
+
+    /**
+     * A connection could not be established.
+     *
+     * @param server the server
+     */
+    void notConnected(RegisteredServer server);
+
     /**
      * An idle connection was closed by the server before its idle timeout.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/AttemptResultUtil.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/AttemptResultUtil.java
@@ -21,12 +21,16 @@
         return switch (result) {
             case AttemptResult.Answer a ->
                 a.status() >= 500 ? new AttemptOutcome.ServerError(took) : new AttemptOutcome.Answered(took);
-            case AttemptResult.Unknown u -> new AttemptOutcome.ConnectionLost();
+            case AttemptResult.Unknown u ->
+                u.loss() == AttemptResult.Loss.PATH
+                        ? new AttemptOutcome.PathLost()
+                        : new AttemptOutcome.ConnectionLost();
             case AttemptResult.NotRun n ->
                 switch (n.reason()) {
                     case UNREACHABLE -> new AttemptOutcome.Unreachable();
                     case MISDIRECTED -> new AttemptOutcome.Misdirected();
-                    case SHED, NO_CONNECTION -> new AttemptOutcome.Shed();
+                    case SHED, NO_CONNECTION, DECLINED -> new AttemptOutcome.Shed();
+                    case NO_PATH -> new AttemptOutcome.PathLost();
                 };
         };
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/CrashDetector.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/CrashDetector.java
@@ -30,7 +30,7 @@
 
     private record Incarnation(BackendServerName server, long number) {}
 
-    private record LostRequest(Supplier<RequestFingerprint> fingerprint, Runnable afterCheck) {}
+    private record LostRequest(Supplier<RequestFingerprint> fingerprint, Consumer<Boolean> afterCheck) {}
 
     /**
      * Creates a detector.
@@ -50,7 +50,8 @@
      * @param request computes the fingerprint of the request, if the server has crashed
      * @param afterCheck called when it is known whether the server has crashed
      */
-    void recordLostConnection(RegisteredServer server, Supplier<RequestFingerprint> request, Runnable afterCheck) {
+    void recordLostConnection(
+            RegisteredServer server, Supplier<RequestFingerprint> request, Consumer<Boolean> afterCheck) {
         Incarnation key = new Incarnation(server.name(), server.incarnation());
         LostRequest r = new LostRequest(request, afterCheck);
         List<LostRequest> waiting = lost.get(key);
@@ -66,7 +67,7 @@
                         server,
                         requests.stream().map(q -> q.fingerprint().get()).toList());
             }
-            requests.forEach(q -> q.afterCheck().run());
+            requests.forEach(q -> q.afterCheck().accept(crashed));
         });
     }
 }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchange.java
@@ -32,7 +32,6 @@
 import org.lycheetray.core.traffic.TrafficRoute;
 import org.lycheetray.daemon.request.Body;
 import org.lycheetray.daemon.request.HopByHopUtil;
-import org.lycheetray.edge.backend.Attempt;
 import org.lycheetray.edge.backend.AttemptResult;
 import org.lycheetray.edge.backend.OutgoingRequest;
 import org.lycheetray.edge.dialect.BackendDialect;
@@ -94,14 +93,6 @@
     private Optional<AttemptResult.Answer> fallbackAnswer = Optional.empty();
     private final List<RunningAttempt> runningAttempts = new ArrayList<>();
 
-    /** An attempt that has not ended. */
-    private record RunningAttempt(
-            PlacementDecision.Send decision, MonotonicTime startedAt, AtomicReference<Attempt> attempt) {
-        boolean isSent() {
-            return attempt.get() != null && attempt.get().isSent();
-        }
-    }
-
     Exchange(
             Exchanges exchanges,
             ExchangeContext context,
@@ -301,8 +292,15 @@
         appendToAttemptLog(server.name() + " " + s.reason());
         RunningAttempt r = new RunningAttempt(s, now(), new AtomicReference<>());
         runningAttempts.add(r);
-        OutgoingRequest out =
-                new OutgoingRequest(id, request.method(), request.uri(), () -> outgoingHeaders(server), request.body());
+        OutgoingRequest out = new OutgoingRequest(
+                id,
+                request.method(),
+                request.uri(),
+                () -> outgoingHeaders(server),
+                request.body(),
+                account.map(AccountPolicy::name),
+                deadline,
+                placement.regions());
         int max = context.steering().maxConnections(placement.service());
         r.attempt().set(context.backends().send(server, max, out, result -> attemptEnded(r, result)));
         scheduleHedge(r, s.overdueAfter());
@@ -344,6 +342,15 @@
         }
     }
 
+    /** Repeats the request, if it may be repeated, because the path of its only attempt is believed to be cut. */
+    void repeatElsewhere() {
+        if (runningAttempts.size() == 1
+                && placement.route().isIdempotent()
+                && runningAttempts.getFirst().relay().isEmpty()) {
+            sendHedgedAttempt(runningAttempts.getFirst());
+        }
+    }
+
     private HttpHeaders outgoingHeaders(RegisteredServer server) {
         HttpHeaders h = HopByHopUtil.copyEndToEnd(request.headers());
         Duration remaining = deadline.since(now());
@@ -364,7 +371,7 @@
         Duration took = now.since(r.startedAt());
         runningAttempts.remove(r);
         PlacementDecision.Send send = r.decision();
-        appendToAttemptLog(send.name() + " " + took.toMillis() + "ms " + AttemptResultUtil.describe(result));
+        appendToAttemptLog(r.describe(took, AttemptResultUtil.describe(result)));
         if (result instanceof AttemptResult.Answer a) {
             if (a.status() < 500) {
                 exchanges.answerTimes().record(placement.route(), took);
@@ -375,7 +382,7 @@
         }
         context.steering().placement().recordEnd(placement, send, AttemptResultUtil.outcome(result, took), now);
         exchanges.scheduleRetryPending();
-        if (result instanceof AttemptResult.Unknown u && u.connectionLost()) {
+        if (result instanceof AttemptResult.Unknown u && u.loss() == AttemptResult.Loss.CONNECTION) {
             handleLostConnection(send.server());
             return;
         }
@@ -385,7 +392,7 @@
         }
         switch (result) {
             case AttemptResult.Answer a -> handleAnswer(a);
-            case AttemptResult.NotRun n -> retryNotRun(n.reason() != AttemptResult.NotRunReason.UNREACHABLE);
+            case AttemptResult.NotRun n -> retryNotRun(n.reason().countsAsArrived());
             case AttemptResult.Unknown u -> {
                 mayHaveRun = true;
                 retryAfterLostAnswer();
@@ -401,9 +408,11 @@
         mayHaveRun = true;
         lostConnections++;
         boolean suspect = lostConnections > 1 || context.steering().suspects().isSuspect(fingerprint);
-        exchanges
-                .crashes()
-                .recordLostConnection(server, () -> fingerprint, suspect ? this::retryAfterLostAnswer : () -> {});
+        exchanges.crashes().recordLostConnection(server, () -> fingerprint, crashed -> {
+            if (suspect) {
+                retryAfterLostAnswer();
+            }
+        });
         if (!suspect) {
             retryAfterLostAnswer();
         }
@@ -509,7 +518,7 @@
             context.steering()
                     .placement()
                     .recordEnd(placement, r.decision(), new AttemptOutcome.Cancelled(waited), now());
-            appendToAttemptLog(r.decision().name() + " " + waited.toMillis() + "ms given-up");
+            appendToAttemptLog(r.describe(waited, "given-up"));
         });
         if (!remaining.isEmpty()) {
             exchanges.scheduleRetryPending();
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/ExchangeContext.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/ExchangeContext.java
@@ -2,9 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import org.lycheetray.core.time.Clock;
-import org.lycheetray.edge.backend.BackendClient;
 import org.lycheetray.edge.dialect.BackendDialect;
 import org.lycheetray.edge.dialect.CallerDialect;
+import org.lycheetray.edge.relay.ServerAccess;
 
 /**
  * The collaborators that all exchanges share.
@@ -19,7 +19,7 @@
  */
 public record ExchangeContext(
         TrafficSteering steering,
-        BackendClient backends,
+        ServerAccess backends,
         CallerDialect callers,
         BackendDialect servers,
         ExchangeObserver observer,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/Exchanges.java
@@ -8,10 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ServiceName;
+import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.stop.AnswerTimes;
 import org.lycheetray.core.stop.StopSchedule;
+import org.lycheetray.core.suspect.RequestFingerprint;
 import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.core.traffic.AccountPolicy;
 import org.lycheetray.core.traffic.TrafficRoute;
@@ -135,6 +138,11 @@
         return remaining.size();
     }
 
+    /** Repeats the requests that are unanswered on the local VM's connections, because it has lost its paths to servers. */
+    public void repeatElsewhere() {
+        List.copyOf(inProgress).forEach(Exchange::repeatElsewhere);
+    }
+
     /**
      * Returns the number of exchanges that wait for a backend server with free capacity.
      *
@@ -162,8 +170,12 @@
         }
     }
 
-    /** Returns whether new requests are refused as not run because the VM is leaving. */
-    boolean isRefusing() {
+    /**
+     * Returns whether new requests are refused as not run because the VM is leaving.
+     *
+     * @return true from a certain time of a planned stop on
+     */
+    public boolean isRefusing() {
         return stop.filter(s -> !s.accepts(context.clock().monotonic())).isPresent();
     }
 
@@ -180,6 +192,18 @@
         return answerTimes;
     }
 
+    /**
+     * Finds out whether a server has crashed while a request of another VM was in flight there.
+     *
+     * @param server the server to which a connection was lost
+     * @param request computes the fingerprint of the request
+     * @param callback called with true if the server has crashed
+     */
+    public void checkCrashed(
+            RegisteredServer server, Supplier<RequestFingerprint> request, Consumer<Boolean> callback) {
+        crashes.recordLostConnection(server, request, callback);
+    }
+
     CrashDetector crashes() {
         return crashes;
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/TrafficSteering.java
@@ -347,14 +347,14 @@
      * @param server the server
      * @param requests the local VM's requests that were in flight there
      */
-    void recordServerCrash(RegisteredServer server, List<RequestFingerprint> requests) {
+    public void recordServerCrash(RegisteredServer server, List<RequestFingerprint> requests) {
         LogEvent.of("server-crashed")
                 .with("server", server.name())
                 .with("incarnation", server.incarnation())
                 .with("in-flight", requests.size())
                 .warn();
         MonotonicTime now = clock.monotonic();
-        requests.forEach(r -> logSuspectChange(
+        requests.forEach(r -> SuspectLog.write(
                 suspects.recordCrash(server.name(), server.incarnation(), r, now),
                 server.name().value()));
     }
@@ -366,7 +366,7 @@
      */
     void recordRequestAnswered(RequestFingerprint request) {
         if (!suspects.isEmpty()) {
-            logSuspectChange(suspects.recordAnswer(request, clock.monotonic()), "answer");
+            SuspectLog.write(suspects.recordAnswer(request, clock.monotonic()), "answer");
         }
     }
 
@@ -377,23 +377,7 @@
      * @param report the report
      */
     public void applySuspectReport(VmName vm, SuspectRequest report) {
-        logSuspectChange(suspects.applyReport(report, clock.monotonic()), vm.value());
-    }
-
-    private static void logSuspectChange(Optional<CrashSuspects.Change> change, String source) {
-        change.ifPresent(c -> LogEvent.of(eventName(c))
-                .with("digest", c.digest())
-                .with("crashes", c.crashes())
-                .with("before", c.before())
-                .with("source", source)
-                .info());
-    }
-
-    private static String eventName(CrashSuspects.Change c) {
-        if (c.clears()) {
-            return "request-cleared";
-        }
-        return c.quarantines() ? "request-quarantined" : "request-suspected";
+        SuspectLog.write(suspects.applyReport(report, clock.monotonic()), vm.value());
     }
 
     /**
@@ -583,6 +567,16 @@
         return retryBudget;
     }
 
+    /**
+     * Returns a registered backend server.
+     *
+     * @param name name of the server
+     * @return its latest entry, or empty if it is not registered
+     */
+    public Optional<RegisteredServer> server(BackendServerName name) {
+        return registry.find(name);
+    }
+
     /**
      * Returns the registered backend servers.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/fleet/ReportChannel.java
@@ -163,6 +163,7 @@
         r.setConfigVersion(steering.version().number());
         r.setServersVersion(follower.lastServerChange());
         follower.era().ifPresent(r::setStoreEra);
+        r.setReachesServers(view.localReaches());
         List<ServerLimit> limits = steering.placement().limits().takeReports(allLimits, clock.monotonic()).stream()
                 .map(ReportChannel::encode)
                 .toList();
@@ -235,6 +236,7 @@
             if (member.isEmpty() || !view.applyReport(member.get(), r.getSequence(), r.isServing(), now)) {
                 return false;
             }
+            view.recordReach(vm, r.isSetReachesServers() ? Optional.of(r.isReachesServers()) : Optional.empty());
             Map<ClientAccountName, Long> totals = new HashMap<>();
             r.getAdmitted().forEach(t -> totals.put(new ClientAccountName(t.getAccount()), t.getAdmitted()));
             steering.quota().applyReport(vm, r.getIncarnation(), totals, r.isWhole(), now);
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/EdgeFixture.java
@@ -18,6 +18,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.ClientAccountName;
 import org.lycheetray.core.model.ConfigVersion;
@@ -298,6 +299,19 @@
         return connect(settings.callerEndpoint());
     }
 
+    /** Opens a connection to the port on which other VMs ask this one to send requests. */
+    Socket relayConnection() throws IOException {
+        Socket s = new Socket(
+                settings.reportEndpoint().host(), settings.reportEndpoint().port());
+        s.setSoTimeout(TIMEOUT_MS);
+        return s;
+    }
+
+    /** Returns the record of a VM of the fleet. */
+    FleetMember member(String name) {
+        return store.member(name);
+    }
+
     /** Opens a connection that the caller closes; may be called from any thread. */
     Socket newCaller() throws IOException {
         Endpoint address = settings.callerEndpoint();
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/InMemoryFleetStore.java
@@ -60,6 +60,13 @@
         return members.size();
     }
 
+    FleetMember member(String name) {
+        return members.stream()
+                .filter(m -> m.vm().value().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private synchronized RecordBatch after(Topic topic, long from) {
         List<StoreRecord> records = history.get(topic).stream()
                 .filter(e -> e.version() > from)
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/VmWithoutPathsToServersTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/VmWithoutPathsToServersTest.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -83,7 +83,6 @@
                 .count();
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource
     void requestsAreAnsweredThroughAnotherVm(CuttableLink.Cut how) throws Exception {
@@ -99,4 +98,43 @@
             assertThat(arrivals("order-" + i)).isEqualTo(1);
         }
     }
+
+    @Test
+    void requestsForServersOutOfReachAreAnsweredThroughAnotherVm() throws Exception {
+        start();
+        links.get(0).cut(CuttableLink.Cut.RESET);
+        links.get(1).cut(CuttableLink.Cut.SILENT);
+
+        assertThat(statuses("/order/", "order-")).containsOnly(200);
+    }
+
+    @Test
+    void requestsGoDirectlyAgainAfterTheCut() throws Exception {
+        start();
+        cutAll(CuttableLink.Cut.RESET);
+        vm.awaitStatus("/read/cut", 200);
+
+        for (CuttableLink l : links) {
+            l.restore();
+        }
+        peer.close();
+
+        vm.awaitStatus("/order/after", 200);
+    }
+
+    /** Guards against refusals as not run of requests that have run, and against requests that wait for nobody. */
+    @Test
+    void requestsAreRefusedIfNoVmReachesAServer() throws Exception {
+        start();
+        for (ScriptedBackendServer s : servers) {
+            s.close();
+        }
+        cutAll(CuttableLink.Cut.RESET);
+
+        EdgeFixture.Reply r = vm.request(EdgeFixture.get("/order/1", "q1", ""));
+
+        assertThat(r.status()).isEqualTo(503);
+        assertThat(r.hasHeader("Retry-After")).isTrue();
+        assertThat(arrivals("q1")).isZero();
+    }
 }
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/BackendConnectionFixture.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.lycheetray.core.allowance.RateStatement;
 import org.lycheetray.core.model.BackendServerName;
 import org.lycheetray.core.model.DataCentreName;
@@ -18,6 +19,7 @@
 import org.lycheetray.core.placement.AvailabilityStatement;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
+import org.lycheetray.core.time.MonotonicTime;
 import org.lycheetray.daemon.request.Body;
 import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.TestDialect;
@@ -39,6 +41,12 @@
 
     /** Records the requests after whose answers surplus bytes arrived. */
     private record SurplusRecorder(List<String> requestIds) implements ServerEvents {
+        @Override
+        public void connected(RegisteredServer server) {}
+
+        @Override
+        public void notConnected(RegisteredServer server) {}
+
         @Override
         public void idleConnectionLost(RegisteredServer server) {}
 
@@ -86,8 +94,19 @@
     }
 
     void send(String id, HttpMethod method) {
-        connection.send(new Attempt(
-                new OutgoingRequest(id, method, "/", DefaultHttpHeaders::new, new Body(new byte[0])), results::add));
+        connection.send(new Attempt(request(id, method), results::add));
+    }
+
+    static OutgoingRequest request(String id, HttpMethod method) {
+        return new OutgoingRequest(
+                id,
+                method,
+                "/",
+                DefaultHttpHeaders::new,
+                Body.EMPTY,
+                Optional.empty(),
+                new MonotonicTime(Long.MAX_VALUE),
+                Set.of());
     }
 
     /** Receives bytes of the server in one read; bytes for a connection that is closed are lost. */
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/ResponseBodyMemoryTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/backend/ResponseBodyMemoryTest.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -15,7 +14,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.lycheetray.core.time.Clock;
-import org.lycheetray.daemon.request.Body;
 import org.lycheetray.edge.MemoryBudget;
 import org.lycheetray.edge.TestDialect;
 
@@ -81,9 +79,8 @@
     private final class Exchange {
         private final List<AttemptResult> results = new ArrayList<>();
         private final EmbeddedChannel channel = new EmbeddedChannel();
-        private final Attempt attempt = new Attempt(
-                new OutgoingRequest("q1", HttpMethod.GET, "/", DefaultHttpHeaders::new, new Body(new byte[0])),
-                results::add);
+        private final Attempt attempt =
+                new Attempt(BackendConnectionFixture.request("q1", HttpMethod.GET), results::add);
 
         Exchange() {
             BackendConnection connection = new BackendConnection(
--- a/lycheetray-protocol/src/main/thrift/lycheetray.thrift
+++ b/lycheetray-protocol/src/main/thrift/lycheetray.thrift
@@ -334,4 +334,69 @@
   14: optional i64 storeEra
   /** Requests that were in flight at crashes, a few in each report. */
   15: optional list<SuspectRequest> suspects
+  /** False while the VM has lost its paths to the backend servers; not set by VMs that do not relay requests. */
+  16: optional bool reachesServers
+}
+
+struct HeaderField {
+  1: string name
+  2: string value
+}
+
+/** Asks another VM to send a request to a backend server, which the sender can't reach; its body follows. */
+struct RelayRequest {
+  1: string vm
+  2: i64 incarnation
+  /** The VM that is asked; any other rejects the message. */
+  3: string recipient
+  4: i64 recipientIncarnation
+  5: string server
+  6: i64 serverIncarnation
+  7: string requestId
+  8: string method
+  9: string uri
+  10: list<HeaderField> headers
+  11: optional string account
+  /** Time left until the deadline. */
+  12: i64 remainingMillis
+  13: i32 bodyBytes
+}
+
+/** Part of a body, not empty. */
+struct BodyPart {
+  1: binary content
+}
+
+/** The server's complete answer; its body follows. */
+struct RelayAnswer {
+  1: i32 status
+  2: list<HeaderField> headers
+  3: i32 bodyBytes
+}
+
+/** The request has not run and never will. */
+struct RelayNotRun {
+  1: string reason
+  /** Set if the server has said that it leaves. */
+  2: optional bool leaving
+  /** Set if the server has requested a pause: the time left of it. */
+  3: optional i64 pauseMillis
+}
+
+/** The request may have run. */
+struct RelayUnknown {
+  1: string cause
+  /** True if the path to the server failed, which says nothing about the server. */
+  2: bool pathLost
+  /** True if the server has crashed. */
+  3: bool crashed
+}
+
+/** What a frame of a connection for relayed requests carries. */
+union RelayMessage {
+  1: RelayRequest request
+  2: BodyPart body
+  3: RelayAnswer answer
+  4: RelayNotRun notRun
+  5: RelayUnknown unknown
 }
