A server behind a cut path is not taken for crashed

What callers saw: nothing yet in the users' record. By reading, and in a test: a VM whose paths were reset took each server with a request in flight for crashed, since new connections were refused too. Three servers later the request was quarantined, on all VMs.

Cause: a refused connection counted as proof of a crash.

Change: the server counts as crashed only if another server, of the same data centre if there is one, accepts a connection. Evidence: VmWithoutPathsToServersTest.requestsInFlightAtTheCutAreNotQuarantined gets 503 (quarantined) without the check and 200 with it.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
@@ -326,6 +326,23 @@
         return result;
     }
 
+    /**
+     * Returns another server whose reach tells a crash of a server from a cut: if its connections fail too, the path is
+     * at fault.
+     *
+     * @param server the server that refuses connections
+     * @return a server of the same data centre, or of another one if it is the only one there; empty if it is the only one
+     */
+    public Optional<RegisteredServer> otherServer(RegisteredServer server) {
+        List<RegisteredServer> others = shuffled(servers.values().stream()
+                .filter(s -> !s.name().equals(server.name()) && !failed.containsKey(s.name()))
+                .toList());
+        return others.stream()
+                .filter(s -> s.dataCentre().equals(server.dataCentre()))
+                .findFirst()
+                .or(() -> others.stream().findFirst());
+    }
+
     /**
      * A request that was sent on a connection of this VM and is not answered.
      *
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
@@ -253,13 +253,23 @@
     }
 
     /**
-     * Tells a crash of a server from the loss of a connection to it.
+     * Tells a crash of a server from the loss of a path to it.
+     *
+     * <p>A server that refuses connections is taken to have crashed if another server, of the same data centre if there is
+     * one, accepts them: a cut path may refuse connections too.
      *
      * @param server the server to which a connection was lost
      * @param callback called with true if the server has crashed
      */
     public void checkCrashed(RegisteredServer server, Consumer<Boolean> callback) {
-        direct.checkCrashed(server, callback);
+        direct.checkCrashed(server, refused -> {
+            Optional<RegisteredServer> other = monitor.reach().otherServer(server);
+            if (refused && other.isPresent()) {
+                direct.checkReach(other.get(), callback);
+            } else {
+                callback.accept(refused && !monitor.reach().isCutOff());
+            }
+        });
     }
 
     /**
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/VmWithoutPathsToServersTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/VmWithoutPathsToServersTest.java
@@ -19,6 +19,7 @@
     private static final int SERVERS = 5;
     private static final int REQUESTS = 12;
     private static final Duration WORK = Duration.ofMillis(20);
+    private static final Duration LONG_WORK = Duration.ofMillis(500);
 
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final List<ScriptedBackendServer> servers = new ArrayList<>();
@@ -137,4 +138,38 @@
         assertThat(r.hasHeader("Retry-After")).isTrue();
         assertThat(arrivals("q1")).isZero();
     }
+
+    /** Guards against taking servers behind a cut for crashed, and the requests that were in flight for the cause. */
+    @Test
+    void requestsInFlightAtTheCutAreNotQuarantined() throws Exception {
+        start();
+        servers.forEach(s -> s.script(VmWithoutPathsToServersTest::answerMuchLater));
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            callers.add(vm.caller());
+            EdgeFixture.send(callers.get(i), EdgeFixture.post("/order/same", "same-" + i, "body"));
+        }
+        awaitArrivals(REQUESTS);
+
+        cutAll(CuttableLink.Cut.RESET);
+        for (Socket s : callers) {
+            EdgeFixture.read(s.getInputStream());
+        }
+
+        servers.forEach(s -> s.script(VmWithoutPathsToServersTest::answerLater));
+        EdgeFixture.Reply r = vm.request(EdgeFixture.post("/order/same", "same", "body"));
+        assertThat(r.status()).isEqualTo(200);
+    }
+
+    private static void answerMuchLater(ScriptedBackendServer.Request r, OutputStream out, Socket s)
+            throws IOException {
+        LockSupport.parkNanos(LONG_WORK.toNanos());
+        answerLater(r, out, s);
+    }
+
+    private void awaitArrivals(int count) throws InterruptedException {
+        while (servers.stream().mapToInt(s -> s.requests().size()).sum() < count) {
+            Thread.sleep(1);
+        }
+    }
 }
