Look-ups leave out the VMs that are cut off from all servers

What callers saw: VMs without paths to servers stayed in look-ups, so that new callers kept coming to them.

Change: a VM reports whether it reaches servers. Look-ups leave out those that don't as long as more than half of the VMs that would be returned remain; otherwise all are returned, so that the few others don't get twice their callers or more. Readiness stays: a cut VM answers through others, and taking it out would cost its open connections.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/fleet/FleetView.java
@@ -421,11 +421,22 @@
         others.values().stream().filter(k -> isServing(k, now)).forEach(k -> serving.add(k.member));
         List<FleetMember> inCallerRegion = filter(serving, m -> callerRegion.equals(region(m)));
         if (!inCallerRegion.isEmpty()) {
-            return inCallerRegion;
+            return preferReaching(inCallerRegion);
         }
         List<FleetMember> inAllowedRegions =
                 filter(serving, m -> region(m).filter(allowed::contains).isPresent());
-        return inAllowedRegions.isEmpty() ? serving : inAllowedRegions;
+        return preferReaching(inAllowedRegions.isEmpty() ? serving : inAllowedRegions);
+    }
+
+    /** Leaves out the VMs that are cut off from all servers, unless the others would get twice their requests or more. */
+    private List<FleetMember> preferReaching(List<FleetMember> members) {
+        List<FleetMember> reaching = filter(members, this::reachesServers);
+        return 2 * reaching.size() > members.size() ? reaching : members;
+    }
+
+    private boolean reachesServers(FleetMember m) {
+        KnownVm k = others.get(m.vm());
+        return k == null ? localReaches : k.reachesServers.orElse(true);
     }
 
     private static List<FleetMember> filter(List<FleetMember> members, Predicate<FleetMember> p) {
--- a/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/fleet/FleetViewTest.java
@@ -179,6 +179,36 @@
         view.recordReach(new VmName(name), reachesServers);
     }
 
+    @Test
+    void callersDoNotUseTheFewVmsThatAreCutOff() {
+        addVm("a", Optional.of(true));
+        addVm("b", Optional.of(true));
+        addVm("c", Optional.of(false));
+
+        assertThat(vmsForCaller(START)).extracting(m -> m.vm().value()).containsExactlyInAnyOrder("a", "b");
+    }
+
+    /** Guards against sending the callers of a region to its only VM that reaches servers. */
+    @Test
+    void callersUseAllVmsIfMostAreCutOff() {
+        addVm("a", Optional.of(true));
+        addVm("b", Optional.of(false));
+        addVm("c", Optional.of(false));
+
+        assertThat(vmsForCaller(START)).hasSize(3);
+    }
+
+    @Test
+    void localVmThatIsCutOffIsNotReturnedToCallers() {
+        FleetMember self = member("self", 1, DC_NEAR);
+        addVm("a", Optional.of(true));
+        addVm("b", Optional.of(true));
+        view.recordLocalReach(false);
+
+        assertThat(view.vmsForCaller(Optional.of(self), Optional.of(NEAR), Set.of(), START))
+                .doesNotContain(self);
+    }
+
     @Test
     void requestsAreRelayedOnlyByVmsThatReachServersAndSaySo() {
         addVm("a", Optional.of(true));
