Relayed requests come from the VM's own address; no VM is asked where another has just failed

Now a VM that has just failed to connect says so at once, and none is asked for a second after another one has failed too. A VM that declines for a reason of its own (it stops, or its memory is used up) no longer counts against the server, and a second one is asked.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
@@ -45,6 +45,9 @@
     /** Interval of checks of one server that is out of reach. */
     private static final Duration SERVER_CHECK_INTERVAL = Duration.ofSeconds(1);
 
+    /** Time for which a failure is taken to last when another VM asks, or another VM would be asked. */
+    private static final Duration FAILURE_MEMORY = Duration.ofSeconds(1);
+
     /** Maximum number of checks in progress. */
     private static final int MAX_CHECKS = 4;
 
@@ -53,6 +56,7 @@
         private final MonotonicTime failedAt;
         private MonotonicTime checkedAt;
         private boolean answersOthers;
+        private Optional<MonotonicTime> failedForOthersAt = Optional.empty();
 
         FailedPath(MonotonicTime now) {
             failedAt = now;
@@ -178,14 +182,44 @@
      * Records that another VM could not connect to a server either.
      *
      * @param server the server
+     * @param now current time
      */
-    public void recordFailedForOthers(BackendServerName server) {
+    public void recordFailedForOthers(BackendServerName server, MonotonicTime now) {
         FailedPath p = failed.get(server);
         if (p != null) {
             p.answersOthers = false;
+            p.failedForOthersAt = Optional.of(now);
         }
     }
 
+    /**
+     * Returns whether another VM failed to connect to a server too, so recently that no further one should be asked.
+     *
+     * @param server the server
+     * @param now current time
+     * @return true for a short time after the failure of the other VM
+     */
+    public boolean hasFailedForOthers(BackendServerName server, MonotonicTime now) {
+        return Optional.ofNullable(failed.get(server))
+                .flatMap(p -> p.failedForOthersAt)
+                .filter(t -> now.since(t).compareTo(FAILURE_MEMORY) < 0)
+                .isPresent();
+    }
+
+    /**
+     * Returns whether this VM failed to connect to a server, so recently that another attempt is not worth its time.
+     *
+     * @param server the server
+     * @param now current time
+     * @return true for a short time after the failure, unless a connection was established since
+     */
+    public boolean hasFailedRecently(BackendServerName server, MonotonicTime now) {
+        return isCutOff()
+                || Optional.ofNullable(failed.get(server))
+                        .filter(p -> now.since(p.failedAt).compareTo(FAILURE_MEMORY) < 0)
+                        .isPresent();
+    }
+
     /**
      * Records that a connection to a server could not be established.
      *
@@ -198,7 +232,10 @@
         silenceCheck = silent ? Optional.empty() : silenceCheck;
         FailedPath before = failed.get(server);
         FailedPath p = new FailedPath(now);
-        p.answersOthers = before != null && before.answersOthers;
+        if (before != null) {
+            p.answersOthers = before.answersOthers;
+            p.failedForOthersAt = before.failedForOthersAt;
+        }
         failed.put(server, p);
         switch (state) {
             case VmReach.Reaching r -> startCheckingIfSeveralFail(p.answersOthers, silent, now);
--- a/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
@@ -164,9 +164,12 @@
         connect(0);
         reach.recordAnsweredOthers(servers.get(0).name());
 
-        reach.recordFailedForOthers(servers.get(0).name());
+        reach.recordFailedForOthers(servers.get(0).name(), now);
 
         assertThat(reach.isOutOfReach(servers.get(0).name())).isFalse();
+        assertThat(reach.hasFailedForOthers(servers.get(0).name(), now)).isTrue();
+        assertThat(reach.hasFailedForOthers(servers.get(0).name(), now.plus(LONG)))
+                .isFalse();
     }
 
     @Test
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -43,6 +43,7 @@
 import org.lycheetray.edge.front.CallerConnectionContext;
 import org.lycheetray.edge.front.CallerListener;
 import org.lycheetray.edge.relay.ReachMonitor;
+import org.lycheetray.edge.relay.RelayClient;
 import org.lycheetray.edge.relay.RelayContext;
 import org.lycheetray.edge.relay.RelayListener;
 import org.lycheetray.edge.relay.ServerAccess;
@@ -121,8 +122,7 @@
         BackendClient direct = new BackendClient(transport, adapter.backendDialect(), clock, memory, serverObserver);
         backends = new ServerAccess(
                 direct,
-                transport,
-                memory,
+                new RelayClient(transport, settings.reportEndpoint().host(), memory, clock),
                 reach,
                 new RelaySelection(settings.dataCentre(), settings.regions(), random),
                 new ServerAccess.Collaborators(
@@ -152,6 +152,7 @@
                 fleetView,
                 steering,
                 direct,
+                reach.reach(),
                 adapter.backendDialect(),
                 memory,
                 () -> isServing() && !exchanges.isRefusing(),
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/AttemptResultUtil.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/exchange/AttemptResultUtil.java
@@ -29,8 +29,8 @@
                 switch (n.reason()) {
                     case UNREACHABLE -> new AttemptOutcome.Unreachable();
                     case MISDIRECTED -> new AttemptOutcome.Misdirected();
-                    case SHED, NO_CONNECTION, DECLINED -> new AttemptOutcome.Shed();
-                    case NO_PATH -> new AttemptOutcome.PathLost();
+                    case SHED, NO_CONNECTION -> new AttemptOutcome.Shed();
+                    case NO_PATH, DECLINED -> new AttemptOutcome.PathLost();
                 };
         };
     }
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayClient.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayClient.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -25,11 +26,12 @@
  * <p>A request that was handed to a connection may have run if the connection ends. Not thread-safe: used on the event loop
  * only.
  */
-final class RelayClient {
+public final class RelayClient {
     /** Connect timeout: several round trips between regions. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
     private final Bootstrap bootstrap;
+    private final String localHost;
     private final MemoryBudget budget;
     private final Clock clock;
     private final Map<VmName, Pool> pools = new HashMap<>();
@@ -45,7 +47,16 @@
         }
     }
 
-    RelayClient(Transport transport, MemoryBudget budget, Clock clock) {
+    /**
+     * Creates a client without connections.
+     *
+     * @param transport provides the sockets
+     * @param localHost address of the local VM, from which connections are opened
+     * @param budget limit of the memory for answers
+     * @param clock used to measure idle times
+     */
+    public RelayClient(Transport transport, String localHost, MemoryBudget budget, Clock clock) {
+        this.localHost = localHost;
         this.bootstrap = transport.clientBootstrap(CONNECT_TIMEOUT);
         this.budget = budget;
         this.clock = clock;
@@ -115,8 +126,11 @@
                     }
                 })
                 .connect(
-                        pool.member.reportEndpoint().host(),
-                        pool.member.reportEndpoint().port());
+                        new InetSocketAddress(
+                                pool.member.reportEndpoint().host(),
+                                pool.member.reportEndpoint().port()),
+                        // The other VM accepts requests from the address of the report endpoint only.
+                        new InetSocketAddress(localHost, 0));
         sending.counted().onCancel(() -> {
             var _ = f.channel().close();
         });
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayContext.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.lycheetray.core.fleet.FleetMember;
 import org.lycheetray.core.fleet.FleetView;
+import org.lycheetray.core.reach.ServerReach;
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.suspect.RequestFingerprint;
 import org.lycheetray.core.time.Clock;
@@ -22,6 +23,7 @@
  * @param fleet the other VMs, which alone may ask
  * @param steering the local VM's routing state
  * @param backends sends requests to backend servers
+ * @param reach which servers the local VM reaches
  * @param servers headers exchanged with backend servers
  * @param budget limit of the memory for requests and answers
  * @param serving returns false while the local VM does not accept requests
@@ -34,6 +36,7 @@
         FleetView fleet,
         TrafficSteering steering,
         BackendClient backends,
+        ServerReach reach,
         BackendDialect servers,
         MemoryBudget budget,
         BooleanSupplier serving,
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayedRequests.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayedRequests.java
@@ -153,6 +153,11 @@
             decline();
             return;
         }
+        if (context.reach()
+                .hasFailedRecently(server.get().name(), context.clock().monotonic())) {
+            replyNotRun(server.get(), NotRunReason.UNREACHABLE);
+            return;
+        }
         availability().recordSent(server.get(), context.clock().monotonic());
         Attempt a = new Attempt(request.get(), result -> attemptEnded(server.get(), request.get(), result));
         attempt = Optional.of(a);
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
@@ -21,8 +21,6 @@
 import org.lycheetray.core.registry.RegisteredServer;
 import org.lycheetray.core.time.Clock;
 import org.lycheetray.core.time.MonotonicTime;
-import org.lycheetray.edge.MemoryBudget;
-import org.lycheetray.edge.Transport;
 import org.lycheetray.edge.backend.Attempt;
 import org.lycheetray.edge.backend.AttemptResult;
 import org.lycheetray.edge.backend.AttemptResult.NotRunReason;
@@ -76,21 +74,19 @@
      * Creates an access without requests.
      *
      * @param direct sends requests by own connections
-     * @param transport provides the sockets of connections to other VMs
-     * @param budget limit of the memory for answers
+     * @param relayClient asks other VMs to send requests
      * @param monitor which servers are in reach
      * @param selection selects the VM to ask
      * @param collaborators what is shared with other parts of the VM
      */
     public ServerAccess(
             BackendClient direct,
-            Transport transport,
-            MemoryBudget budget,
+            RelayClient relayClient,
             ReachMonitor monitor,
             RelaySelection selection,
             Collaborators collaborators) {
         this.direct = direct;
-        this.relayClient = new RelayClient(transport, budget, collaborators.clock());
+        this.relayClient = relayClient;
         this.monitor = monitor;
         this.selection = selection;
         this.collaborators = collaborators;
@@ -155,6 +151,8 @@
             case AttemptResult.NotRun n
             when n.reason() == NotRunReason.UNREACHABLE || (cutOff && n.reason() == NotRunReason.NO_CONNECTION) ->
                 selectRelay(s)
+                        .filter(r ->
+                                !monitor.reach().hasFailedForOthers(s.server().name(), now()))
                         .ifPresentOrElse(
                                 r -> sendThrough(r, s),
                                 () -> s.attempt()
@@ -232,9 +230,11 @@
                 s.attempt().complete(a);
             }
             case AttemptResult.NotRun n
-            when n.reason() == NotRunReason.UNREACHABLE || n.reason() == NotRunReason.NO_PATH -> {
+            when n.reason() == NotRunReason.UNREACHABLE
+                    || n.reason() == NotRunReason.NO_PATH
+                    || n.reason() == NotRunReason.DECLINED -> {
                 if (n.reason() == NotRunReason.UNREACHABLE) {
-                    monitor.reach().recordFailedForOthers(s.server().name());
+                    monitor.reach().recordFailedForOthers(s.server().name(), now());
                 }
                 selectRelay(s)
                         .ifPresentOrElse(
