A server that is down for everybody costs a request one connect timeout, not three

What callers would see: where a server had gone silent, a request waited for the connect timeout of this VM (600 ms) and then for those of up to two others, before it went to another server. Found by reading.

Cause: another VM was asked after every failed connection.

The next request for the failed server goes through another VM at once, which tells a path from a server; after that VM has failed too, none is asked for a second. After a refused connection, which costs no time, one other VM is asked. If no other VM can be asked, the local VM tries.

ServerReachTest.anotherVmIsAskedOnceAfterAFailure; VmWithoutPathsToServersTest, CrashingRequestTest unchanged.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
@@ -127,6 +127,26 @@
         return isCutOff() || (p != null && p.answersOthers);
     }
 
+    /**
+     * Returns whether the next request for a server should go through another VM, if one is found.
+     *
+     * @param server the server
+     * @param now current time
+     * @return true if the server is out of reach, or the last connection to it failed and no other VM has failed since
+     */
+    public boolean prefersOthers(BackendServerName server, MonotonicTime now) {
+        return isOutOfReach(server) || (failed.containsKey(server) && !hasFailedForOthers(server, now));
+    }
+
+    /**
+     * Returns whether the paths of this VM may be at fault.
+     *
+     * @return true while they are checked or cut off
+     */
+    public boolean isInDoubt() {
+        return !(state instanceof VmReach.Reaching);
+    }
+
     /**
      * Returns the number of servers that are out of reach although the VM reaches others.
      *
--- a/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
@@ -172,6 +172,21 @@
                 .isFalse();
     }
 
+    /** Guards against a second connect timeout for a server that is down for everybody. */
+    @Test
+    void anotherVmIsAskedOnceAfterAFailure() {
+        makeUnreachable(0, 1);
+        BackendServerName name = servers.get(0).name();
+        assertThat(reach.prefersOthers(name, now)).isFalse();
+
+        connect(0);
+        assertThat(reach.prefersOthers(name, now)).isTrue();
+
+        reach.recordFailedForOthers(name, now);
+        assertThat(reach.prefersOthers(name, now)).isFalse();
+        assertThat(reach.prefersOthers(name, now.plus(LONG))).isTrue();
+    }
+
     @Test
     void silenceIsCheckedOnceInAWhile() {
         Optional<ServerReach.UnansweredRequest> oldest =
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ServerAccess.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.lycheetray.core.fleet.FleetMember;
@@ -39,9 +40,12 @@
  * only.
  */
 public final class ServerAccess {
-    /** Maximum number of VMs that are asked for one attempt. */
+    /** Maximum number of VMs that are asked for one attempt while the own paths may be at fault; otherwise it is one. */
     private static final int MAX_RELAYS = 2;
 
+    /** Time within which a refused connection fails, as opposed to one that is not answered. */
+    private static final Duration QUICK_FAILURE = Duration.ofMillis(200);
+
     private final BackendClient direct;
     private final RelayClient relayClient;
     private final ReachMonitor monitor;
@@ -67,8 +71,9 @@
             ServerEvents events,
             Clock clock) {}
 
-    /** One attempt with the VMs that were asked for it. */
-    private record Send(RegisteredServer server, int maxConnections, Attempt attempt, Set<VmName> asked) {}
+    /** One attempt, with the VMs that were asked for it and whether the local VM has tried itself. */
+    private record Send(
+            RegisteredServer server, int maxConnections, Attempt attempt, Set<VmName> asked, AtomicBoolean tried) {}
 
     /**
      * Creates an access without requests.
@@ -103,8 +108,9 @@
      */
     public Attempt send(
             RegisteredServer server, int maxConnections, OutgoingRequest request, Consumer<AttemptResult> callback) {
-        Send s = new Send(server, maxConnections, new Attempt(request, callback), new HashSet<>());
-        Optional<FleetMember> relay = monitor.reach().isOutOfReach(server.name()) ? selectRelay(s) : Optional.empty();
+        Send s = new Send(server, maxConnections, new Attempt(request, callback), new HashSet<>(), new AtomicBoolean());
+        Optional<FleetMember> relay =
+                monitor.reach().prefersOthers(server.name(), now()) ? selectRelay(s) : Optional.empty();
         if (relay.isPresent()) {
             sendThrough(relay.get(), s);
         } else {
@@ -114,7 +120,8 @@
     }
 
     private Optional<FleetMember> selectRelay(Send s) {
-        if (s.asked().size() >= MAX_RELAYS || collaborators.localVm().get().isEmpty()) {
+        int limit = monitor.reach().isInDoubt() ? MAX_RELAYS : 1;
+        if (s.asked().size() >= limit || collaborators.localVm().get().isEmpty()) {
             return Optional.empty();
         }
         return selection.select(
@@ -125,9 +132,11 @@
     }
 
     private void sendDirectly(Send s) {
+        s.tried().set(true);
+        MonotonicTime start = now();
         // While the VM is cut off only connections that live on are of use.
         int max = monitor.reach().isCutOff() ? 0 : s.maxConnections();
-        Attempt own = new Attempt(s.attempt().request(), result -> directEnded(s, result));
+        Attempt own = new Attempt(s.attempt().request(), result -> directEnded(s, result, now().since(start)));
         s.attempt().onCancel(() -> {
             unanswered.remove(s.attempt());
             own.cancel();
@@ -140,7 +149,7 @@
         direct.send(s.server(), max, own);
     }
 
-    private void directEnded(Send s, AttemptResult result) {
+    private void directEnded(Send s, AttemptResult result, Duration took) {
         unanswered.remove(s.attempt());
         boolean cutOff = monitor.reach().isCutOff();
         switch (result) {
@@ -150,9 +159,7 @@
             }
             case AttemptResult.NotRun n
             when n.reason() == NotRunReason.UNREACHABLE || (cutOff && n.reason() == NotRunReason.NO_CONNECTION) ->
-                selectRelay(s)
-                        .filter(r ->
-                                !monitor.reach().hasFailedForOthers(s.server().name(), now()))
+                relayAfterFailure(s, took)
                         .ifPresentOrElse(
                                 r -> sendThrough(r, s),
                                 () -> s.attempt()
@@ -163,6 +170,17 @@
         }
     }
 
+    /**
+     * Selects a VM to ask after the local VM could not connect. After a connect timeout another server is the better choice,
+     * unless the own paths may be at fault.
+     */
+    private Optional<FleetMember> relayAfterFailure(Send s, Duration took) {
+        boolean worthIt = monitor.reach().isInDoubt() || took.compareTo(QUICK_FAILURE) < 0;
+        return worthIt && !monitor.reach().hasFailedForOthers(s.server().name(), now())
+                ? selectRelay(s)
+                : Optional.empty();
+    }
+
     private void sendThrough(FleetMember relay, Send s) {
         s.asked().add(relay.vm());
         s.attempt().setRelay(relay.vm());
@@ -236,9 +254,14 @@
                 if (n.reason() == NotRunReason.UNREACHABLE) {
                     monitor.reach().recordFailedForOthers(s.server().name(), now());
                 }
-                selectRelay(s)
-                        .ifPresentOrElse(
-                                r -> sendThrough(r, s), () -> s.attempt().complete(n));
+                Optional<FleetMember> next = selectRelay(s);
+                if (next.isPresent()) {
+                    sendThrough(next.get(), s);
+                } else if (n.reason() != NotRunReason.UNREACHABLE && !s.tried().get()) {
+                    sendDirectly(s);
+                } else {
+                    s.attempt().complete(n);
+                }
             }
             case AttemptResult.NotRun n -> s.attempt().complete(n);
             case AttemptResult.Unknown u -> s.attempt().complete(u);
