A connection that fails to a server that has left does not stop the periodic work

What callers would see: requests that wait for a server are not retried and reports to other VMs stop, until the next change of the registered servers. Found by reading.

Cause: ServerReach kept the failure of a server that was no longer registered; the next check looked up its data centre and threw, each 25 ms, before the rest of the periodic work.

Change: the failure is ignored, and the checks come last. ServerReachTest.failureOfAServerThatHasLeftIsIgnored failed with a NullPointerException before.

--- a/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
+++ b/lycheetray-core/src/main/java/org/lycheetray/core/reach/ServerReach.java
@@ -241,7 +241,7 @@
     }
 
     /**
-     * Records that a connection to a server could not be established.
+     * Records that a connection to a server could not be established; ignored for one that is no longer registered.
      *
      * @param server the server
      * @param now current time
@@ -250,6 +250,9 @@
         checks.remove(server);
         boolean silent = silenceCheck.filter(server::equals).isPresent();
         silenceCheck = silent ? Optional.empty() : silenceCheck;
+        if (!servers.containsKey(server)) {
+            return;
+        }
         FailedPath before = failed.get(server);
         FailedPath p = new FailedPath(now);
         if (before != null) {
--- a/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
+++ b/lycheetray-core/src/test/java/org/lycheetray/core/reach/ServerReachTest.java
@@ -105,6 +105,21 @@
         assertThat(reach.isOutOfReach(servers.get(7).name())).isTrue();
     }
 
+    /** Guards against an error in each further check after a server has left while a connection to it was opened. */
+    @Test
+    void failureOfAServerThatHasLeftIsIgnored() {
+        makeUnreachable(0, 3);
+        reach.updateServers(servers.subList(1, 12));
+
+        connect(0);
+        connect(1);
+        connect(2);
+
+        assertThat(check(LONG)).isPositive();
+        assertThat(reach.isOutOfReach(servers.get(0).name())).isFalse();
+        assertThat(reach.prefersOthers(servers.get(0).name(), now)).isFalse();
+    }
+
     @Test
     void failureOfADataCentreDoesNotCutOffTheVm() {
         servers.stream().filter(s -> s.dataCentre().value().equals("dc-0")).forEach(s -> unreachable.add(s.name()));
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/Edge.java
@@ -271,7 +271,6 @@
     private void tick() {
         steering.removeExpiredServers();
         serverObserver.logEndedPauses();
-        backends.startChecks();
         exchanges.retryPending();
         MonotonicTime now = clock.monotonic();
         boolean urgent = steering.isReportDue() || reach.isReportDue();
@@ -280,6 +279,7 @@
             reach.recordReported();
             registration.sendReport();
         }
+        backends.startChecks();
     }
 
     private void sweep() {
