A relayed request with an invalid client account is rejected before anything is kept of it

Found by reading: the account was parsed after the request had been taken for one in progress, so that its end released memory that was never reserved, which is logged as an error. RejectedRelayMessageTest has the case. Also corrects what the Javadoc of ReachMonitor says about who may change the belief.

--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ReachMonitor.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/ReachMonitor.java
@@ -46,7 +46,7 @@
     /**
      * Returns which servers are in reach.
      *
-     * @return the belief, which must be changed by this class only
+     * @return the belief; connections, which may change the state, must be recorded by this class
      */
     public ServerReach reach() {
         return reach;
--- a/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayedRequests.java
+++ b/lycheetray-edge/src/main/java/org/lycheetray/edge/relay/RelayedRequests.java
@@ -90,9 +90,9 @@
             reject(fault.get());
             return;
         }
+        memory = context.budget().openRequest(account(r));
         head = r;
         readAt = context.clock().monotonic();
-        memory = context.budget().openRequest(account());
         // Without memory the body is read and dropped, so that the connection can be used again.
         dropped = !memory.tryGrow(HEAD_BYTES + (long) r.getBodyBytes());
         body = BodyBuffer.ofReserved(memory, r.getBodyBytes());
@@ -185,12 +185,13 @@
         return context.steering().placement().availability();
     }
 
-    private Optional<ClientAccountName> account() {
-        return Optional.ofNullable(head.getAccount()).map(ClientAccountName::new);
+    private static Optional<ClientAccountName> account(RelayRequest r) {
+        return Optional.ofNullable(r.getAccount()).map(ClientAccountName::new);
     }
 
     private Either<String, OutgoingRequest> outgoingRequest() {
         HttpHeaders h = new DefaultHttpHeaders();
+        Optional<ClientAccountName> account = account(head);
         try {
             RelayFrames.decode(head.getHeaders(), h);
             MonotonicTime deadline = readAt.plus(Duration.ofMillis(Math.max(0, head.getRemainingMillis())));
@@ -202,11 +203,11 @@
                     () -> {
                         Duration left = deadline.since(context.clock().monotonic());
                         context.servers()
-                                .setRequestHeaders(h, new BackendDialect.RequestMetadata(server, account(), left));
+                                .setRequestHeaders(h, new BackendDialect.RequestMetadata(server, account, left));
                         return h;
                     },
                     body.take().orElse(Body.EMPTY),
-                    account(),
+                    account,
                     deadline,
                     Set.of()));
         } catch (IllegalArgumentException | NullPointerException e) {
--- a/lycheetray-edge/src/test/java/org/lycheetray/edge/RejectedRelayMessageTest.java
+++ b/lycheetray-edge/src/test/java/org/lycheetray/edge/RejectedRelayMessageTest.java
@@ -120,6 +120,7 @@
                 .isTrue();
         assertThat(isRejected(request().setBodyBytes(-1))).isTrue();
         assertThat(isRejected(request().setServer(""))).isTrue();
+        assertThat(isRejected(request().setAccount(""))).isTrue();
         assertThat(server.requests()).isEmpty();
         assertThat(vm.request(EdgeFixture.get("/read/1", "q2", "")).status()).isEqualTo(200);
     }
