--- a/review/standins-2/SlowReader.java
+++ b/review/standins-2/SlowReader.java
@@ -13,10 +13,10 @@
 
 /** Case: a VM is stopped while callers on slow links use their kept connections. */
 public final class SlowReader {
-    private static final int CALLERS = 2;
-    private static final int ANSWER_BYTES = 9_000_000;
-    private static final int PIECE_BYTES = 50_000;
-    private static final int PIECE_MS = 50;
+    private static final int CALLERS = 1;
+    private static final int ANSWER_BYTES = 20_000_000;
+    private static final int PIECE_BYTES = 90_000;
+    private static final int PIECE_MS = 20;
     private static final int TIMEOUT_MS = 12_000;
     private static final int DEADLINE_MS = 20_000;
     private static final double REQUEST_AFTER_TERM_S = 1.8;
@@ -166,7 +166,10 @@
     private int judge(double term) {
         double lastSixth = term + Stage.GRACE_S * 5 / 6.0;
         boolean serversDone = answeredByServer.stream().allMatch(t -> t < lastSixth);
-        long lost = ends.stream().filter(e -> !e.complete() && e.ended() - e.sent() < TIMEOUT_MS / 1e3).count();
+        long lost = ends.stream()
+                .filter(e -> !e.complete() && e.ended() < term + Stage.GRACE_S + 1 && e.ended() - e.sent() < TIMEOUT_MS / 1e3)
+                .peek(e -> record.say("cut: %s after %d bytes, %.2f s after the SIGTERM", e.id(), e.bytes(), e.ended() - term))
+                .count();
         record.say("answers that did not arrive whole: %d of %d; servers had finished before the last sixth of the grace period: %s",
                 lost, ends.size(), serversDone);
         boolean broken = lost > 0 && serversDone;
